--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command fescuethread steers requests from customers to regions and targets that can serve them.
+package main
+
+func main() {}
--- /dev/null
+++ b/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger holds the wire types of the peer protocol, generated from peer.proto.
+package messenger
--- /dev/null
+++ b/timer/doc.go
@@ -0,0 +1,3 @@
+// Package timer is the one source of time: instants on a clock that counts pauses, and ticks that
+// services subscribe to.
+package timer
--- /dev/null
+++ b/timer/service.go
@@ -0,0 +1,109 @@
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Resolution is the shortest period that a subscription can ask for.
+const Resolution = 10 * time.Millisecond
+
+// Tick is one notice of the timer service.
+type Tick struct {
+	// At is the instant at which the tick was made.
+	At Instant
+}
+
+// Service sends ticks to its subscribers.
+type Service struct {
+	mu   sync.Mutex
+	subs []*Subscription
+}
+
+// Subscription receives the ticks of one period.
+type Subscription struct {
+	period  time.Duration
+	next    Instant
+	ch      chan Tick
+	service *Service
+}
+
+// New returns a timer service without subscribers.
+func New() *Service {
+	return &Service{}
+}
+
+// Now reads the service's clock.
+func (s *Service) Now() Instant {
+	return Now()
+}
+
+// Subscribe returns a subscription that ticks once per period, rounded up to Resolution.
+func (s *Service) Subscribe(period time.Duration) *Subscription {
+	period = max(period, Resolution)
+	sub := &Subscription{
+		period:  period,
+		next:    Now().Add(period),
+		ch:      make(chan Tick, 1),
+		service: s,
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.subs = append(s.subs, sub)
+	return sub
+}
+
+// Run sends ticks until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	t := time.NewTicker(Resolution)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.dispatch(Now())
+		}
+	}
+}
+
+func (s *Service) dispatch(now Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sub := range s.subs {
+		sub.offer(now)
+	}
+}
+
+// C returns the channel on which ticks arrive; a tick that is not taken in time is dropped.
+func (s *Subscription) C() <-chan Tick {
+	return s.ch
+}
+
+// Close ends the subscription.
+func (s *Subscription) Close() {
+	s.service.remove(s)
+}
+
+func (s *Service) remove(sub *Subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.subs {
+		if other == sub {
+			s.subs = append(s.subs[:i], s.subs[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Subscription) offer(now Instant) {
+	if now.Before(s.next) {
+		return
+	}
+	s.next = now.Add(s.period)
+	select {
+	case s.ch <- Tick{At: now}:
+	default:
+	}
+}
