server: serve callers over nbhttp within bounds, join hosts over drpc

Cause: the whole path needs its two listeners and the settings that bound them. Ruled out: nbhttp's own accept loop: on a parse error it closes without an answer, it delivers a caller's disconnect only after the handler has ended, its idle deadline fires during a request, and its close drops a pending write queue, which truncates answers. drpc over nbio: drpc wants a blocking stream, nbio's connections do not block; drpc runs over net. Change: server (own accept loop and request processor around nbhttp's parser and response), connector (greeted drpc connections, one call at a time, errors that say whether a call can have arrived), loader (settings with strict checks, docs/SETTINGS.md held to the code by a test). Before: no listener. Conclusion: bounds hold at the caller's side; the write queue of a closing connection is kept.

--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,98 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/fescuethread/fescuethread/messenger"
+)
+
+const messageBytes = 1 << 16
+
+type echo struct {
+	Handler
+}
+
+func (echo) Forward(_ context.Context, r *messenger.Request) (*messenger.Reply, error) {
+	if r.GetId() == "fail" {
+		return nil, errors.New("broken")
+	}
+	return &messenger.Reply{Id: r.GetId(), Body: r.GetBody()}, nil
+}
+
+func start(t *testing.T) (*Server, *Pool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	cfg := Config{Host: "a", Incarnation: 1, MessageBytes: messageBytes, IdlePerPeer: 1}
+	s, err := Listen(ctx, "127.0.0.1:0", cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, echo{}) }()
+	p := NewPool(cfg)
+	t.Cleanup(func() {
+		p.Close()
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, p
+}
+
+func TestForwardEchoes(t *testing.T) {
+	s, p := start(t)
+	for range 3 {
+		out, err := p.Forward(t.Context(), s.Address(), &messenger.Request{Id: "1", Body: []byte("x")})
+		if err != nil || out.GetId() != "1" || string(out.GetBody()) != "x" {
+			t.Fatalf("got %v, %v", out, err)
+		}
+	}
+	if n := len(p.idle[s.Address()]); n != 1 {
+		t.Fatalf("%d idle connections", n)
+	}
+}
+
+func TestErrorsTellWhetherTheCallCanHaveArrived(t *testing.T) {
+	s, p := start(t)
+	var e *Error
+	_, err := p.Forward(t.Context(), s.Address(), &messenger.Request{Id: "fail"})
+	if !errors.As(err, &e) || e.Kind != KindUnanswered {
+		t.Fatalf("got %v", err)
+	}
+	_, err = p.Forward(t.Context(), "127.0.0.1:1", &messenger.Request{})
+	if !errors.As(err, &e) || e.Kind != KindUnsent {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestOversizedMessageIsRefused(t *testing.T) {
+	s, p := start(t)
+	body := bytes.Repeat([]byte("x"), 2*messageBytes)
+	if _, err := p.Forward(t.Context(), s.Address(), &messenger.Request{Body: body}); err == nil {
+		t.Fatal("accepted")
+	}
+}
+
+func TestCallsNeedAGreetingOfTheSameVersion(t *testing.T) {
+	s, _ := start(t)
+	raw, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := drpcconn.New(raw)
+	defer func() { _ = conn.Close() }()
+	client := messenger.NewDRPCPeerClient(conn)
+	if _, err := client.Forward(t.Context(), &messenger.Request{}); err == nil {
+		t.Fatal("answered without a greeting")
+	}
+	if _, err := client.Greet(t.Context(), &messenger.Greeting{Protocol: Protocol + 1}); err == nil {
+		t.Fatal("greeted another version")
+	}
+}
--- /dev/null
+++ b/connector/doc.go
@@ -0,0 +1,3 @@
+// Package connector joins entry hosts: it serves the peer protocol and keeps bounded pools of
+// greeted connections to peers. One call at a time uses a connection.
+package connector
--- /dev/null
+++ b/connector/pool.go
@@ -0,0 +1,181 @@
+package connector
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/fescuethread/fescuethread/messenger"
+)
+
+// Pool keeps greeted connections to peers, by address.
+type Pool struct {
+	cfg    Config
+	mu     sync.Mutex
+	idle   map[string][]*drpcconn.Conn
+	closed bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	return &Pool{cfg: cfg, idle: make(map[string][]*drpcconn.Conn)}
+}
+
+// Forward passes a request to the peer at address; the error tells whether it can have arrived.
+func (p *Pool) Forward(
+	ctx context.Context, address string, in *messenger.Request,
+) (*messenger.Reply, error) {
+	out := new(messenger.Reply)
+	err := p.call(ctx, address, "Forward", func(c messenger.DRPCPeerClient) (err error) {
+		out, err = c.Forward(ctx, in)
+		return err
+	})
+	return out, err
+}
+
+// Gossip exchanges heartbeats with the peer at address.
+func (p *Pool) Gossip(
+	ctx context.Context, address string, in *messenger.Digest,
+) (*messenger.Digest, error) {
+	out := new(messenger.Digest)
+	err := p.call(ctx, address, "Gossip", func(c messenger.DRPCPeerClient) (err error) {
+		out, err = c.Gossip(ctx, in)
+		return err
+	})
+	return out, err
+}
+
+// Fetch asks the peer at address for a configuration document.
+func (p *Pool) Fetch(
+	ctx context.Context, address string, in *messenger.DocumentQuery,
+) (*messenger.Document, error) {
+	out := new(messenger.Document)
+	err := p.call(ctx, address, "Fetch", func(c messenger.DRPCPeerClient) (err error) {
+		out, err = c.Fetch(ctx, in)
+		return err
+	})
+	return out, err
+}
+
+// Borrow asks the peer at address for shares.
+func (p *Pool) Borrow(
+	ctx context.Context, address string, in *messenger.LoanRequest,
+) (*messenger.LoanReply, error) {
+	out := new(messenger.LoanReply)
+	err := p.call(ctx, address, "Borrow", func(c messenger.DRPCPeerClient) (err error) {
+		out, err = c.Borrow(ctx, in)
+		return err
+	})
+	return out, err
+}
+
+// Adopt asks the peer at address to take over operations.
+func (p *Pool) Adopt(
+	ctx context.Context, address string, in *messenger.Handover,
+) (*messenger.HandoverReply, error) {
+	out := new(messenger.HandoverReply)
+	err := p.call(ctx, address, "Adopt", func(c messenger.DRPCPeerClient) (err error) {
+		out, err = c.Adopt(ctx, in)
+		return err
+	})
+	return out, err
+}
+
+// Close closes all idle connections and refuses to keep more.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, conns := range p.idle {
+		for _, c := range conns {
+			_ = c.Close()
+		}
+	}
+	p.idle = make(map[string][]*drpcconn.Conn)
+}
+
+func (p *Pool) call(
+	ctx context.Context, address, op string, f func(messenger.DRPCPeerClient) error,
+) error {
+	conn, err := p.take(ctx, address)
+	if err != nil {
+		return err
+	}
+	if err := f(messenger.NewDRPCPeerClient(conn)); err != nil {
+		_ = conn.Close()
+		return &Error{Op: op + " " + address, Kind: KindUnanswered, Err: err}
+	}
+	p.put(address, conn)
+	return nil
+}
+
+func (p *Pool) take(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	for {
+		conn := p.takeIdle(address)
+		if conn == nil {
+			return p.dial(ctx, address)
+		}
+		if !isClosed(conn) {
+			return conn, nil
+		}
+	}
+}
+
+func (p *Pool) takeIdle(address string) *drpcconn.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return nil
+	}
+	conn := conns[len(conns)-1]
+	p.idle[address] = conns[:len(conns)-1]
+	return conn
+}
+
+func (p *Pool) put(address string, conn *drpcconn.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || isClosed(conn) || len(p.idle[address]) >= p.cfg.IdlePerPeer {
+		_ = conn.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], conn)
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, &Error{Op: "dial " + address, Kind: KindUnsent, Err: err}
+	}
+	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: p.cfg.manager()})
+	if err := p.greet(ctx, conn); err != nil {
+		_ = conn.Close()
+		return nil, &Error{Op: "greet " + address, Kind: KindUnsent, Err: err}
+	}
+	return conn, nil
+}
+
+func (p *Pool) greet(ctx context.Context, conn drpc.Conn) error {
+	reply, err := messenger.NewDRPCPeerClient(conn).Greet(ctx, p.cfg.greeting())
+	if err != nil {
+		return err
+	}
+	if reply.GetProtocol() != Protocol {
+		return protocolError("greet", reply.GetProtocol())
+	}
+	return nil
+}
+
+func isClosed(conn *drpcconn.Conn) bool {
+	select {
+	case <-conn.Closed():
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads and checks the settings of one process.
+package loader
--- /dev/null
+++ b/server/config.go
@@ -0,0 +1,33 @@
+package server
+
+import "time"
+
+// Config bounds what callers may do.
+type Config struct {
+	// Address is the IP address and port that the server listens on.
+	Address string
+	// BodyBytes is the largest request body.
+	BodyBytes int
+	// HeaderBytes is the largest request line and header together.
+	HeaderBytes int
+	// AnswerBytes is the largest answer that may wait for a slow reader.
+	AnswerBytes int
+	// Connections is the largest number of open connections.
+	Connections int
+	// Idle is the time after which a connection without a whole request is closed.
+	Idle time.Duration
+	// Busy is the longest time that one request may take, its answer's delivery included.
+	Busy time.Duration
+}
+
+const (
+	// pipelineDepth is the largest number of requests that wait on one connection.
+	pipelineDepth = 16
+	// pollers is the number of goroutines that read from sockets.
+	pollers = 2
+	// readBufferBytes is the size of each poller's read buffer.
+	readBufferBytes = 32 << 10
+)
+
+// linger is the time for which a refused connection stays open to deliver the refusal.
+const linger = time.Second
--- /dev/null
+++ b/server/connection.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// connection is one caller's connection and the requests that wait on it.
+type connection struct {
+	raw       *nbio.Conn
+	parser    *nbhttp.Parser
+	processor *processor
+	ctx       context.Context
+	cancel    context.CancelFunc
+	// broken is set once a fault was answered; only the poller's goroutine uses it.
+	broken bool
+	// closing is set once an answer asked the caller to close the connection.
+	closing atomic.Bool
+
+	mu      sync.Mutex
+	pending int
+}
+
+func newConnection(ctx context.Context, raw *nbio.Conn, cfg *Config) *connection {
+	c := &connection{raw: raw}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	c.processor = &processor{cfg: cfg, conn: c}
+	return c
+}
+
+// begin counts a request in; it reports false when too many wait already.
+func (c *connection) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pending >= pipelineDepth {
+		return false
+	}
+	c.pending++
+	return true
+}
+
+// end counts a request out.
+func (c *connection) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+}
+
+func (c *connection) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0
+}
+
+// receive parses data; a fault is answered unless another answer is due.
+func (c *connection) receive(data []byte) {
+	if c.broken || (c.closing.Load() && c.idle()) {
+		return
+	}
+	err := c.parser.Parse(data)
+	if err == nil && c.processor.fault == nil {
+		return
+	}
+	f := c.processor.fault
+	if f == nil {
+		f = toFault(err)
+	}
+	c.refuse(f)
+}
+
+// refuse answers a fault and reads on for a moment, because closing a socket with unread input
+// resets it and the caller would lose the answer.
+func (c *connection) refuse(f *fault) {
+	c.broken = true
+	if !c.idle() {
+		_ = c.raw.CloseWithError(f)
+		return
+	}
+	_, _ = c.raw.Write(f.answer())
+	_ = c.raw.SetReadDeadline(time.Now().Add(linger))
+}
--- /dev/null
+++ b/server/fault.go
@@ -0,0 +1,52 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// fault is bad input that ends a connection.
+type fault struct {
+	status int
+	reason string
+}
+
+// Error formats the fault.
+func (f *fault) Error() string {
+	return fmt.Sprintf("%d: %s", f.status, f.reason)
+}
+
+func headerTooLarge() *fault {
+	return &fault{http.StatusRequestHeaderFieldsTooLarge, "the request header is too large"}
+}
+
+func bodyTooLarge() *fault {
+	return &fault{http.StatusRequestEntityTooLarge, "the request body is too large"}
+}
+
+func ambiguousLength() *fault {
+	return &fault{http.StatusBadRequest, "the request states its length more than once"}
+}
+
+// toFault turns any error of the parser into a fault.
+func toFault(err error) *fault {
+	var f *fault
+	if errors.As(err, &f) {
+		return f
+	}
+	if errors.Is(err, nbhttp.ErrTooLong) {
+		return bodyTooLarge()
+	}
+	return &fault{http.StatusBadRequest, "the request is malformed"}
+}
+
+// answer returns the fault as a whole HTTP answer that closes the connection.
+func (f *fault) answer() []byte {
+	body := fmt.Sprintf("{\"outcome\":\"not run\",\"reason\":%q}\n", f.reason)
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"+
+		"Fescuethread-Outcome: not run\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		f.status, http.StatusText(f.status), len(body), body)
+}
--- /dev/null
+++ b/server/server_test.go
@@ -0,0 +1,180 @@
+package server
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	bodyBytes   = 1000
+	headerBytes = 500
+)
+
+func start(t *testing.T, connections int, h http.HandlerFunc) *Server {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := Listen(ctx, Config{
+		Address:     "127.0.0.1:0",
+		BodyBytes:   bodyBytes,
+		HeaderBytes: headerBytes,
+		AnswerBytes: 8 << 20,
+		Connections: connections,
+		Idle:        time.Minute,
+		Busy:        time.Minute,
+	}, h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = w.Write(body)
+}
+
+func exchange(t *testing.T, address, request string) (*http.Response, string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	return readAnswer(t, bufio.NewReader(conn))
+}
+
+func readAnswer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func TestBadInputGetsAClearAnswer(t *testing.T) {
+	s := start(t, 10, echo)
+	post := "POST / HTTP/1.1\r\nHost: x\r\n"
+	tests := []struct {
+		name    string
+		request string
+		status  int
+	}{
+		{"whole", post + "Content-Length: 2\r\n\r\nhi", 200},
+		{"chunked", post + "Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", 200},
+		{"malformed line", "POST\r\n\r\n", 400},
+		{"two lengths", post + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi", 400},
+		{"length and chunked", post + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+		{"negative length", post + "Content-Length: -2\r\n\r\n", 400},
+		{"bad chunk", post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400},
+		{"long length", post + "Content-Length: 1001\r\n\r\n", 413},
+		{"long chunks", post + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + strings.Repeat("x", 1001) + "\r\n0\r\n\r\n", 413},
+		{"long header", post + "X: " + strings.Repeat("x", 501) + "\r\n\r\n", 431},
+		{"long path", "GET /" + strings.Repeat("x", 501) + " HTTP/1.1\r\n\r\n", 431},
+		{"version", "GET / HTTP/2.0\r\nHost: x\r\n\r\n", 505},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body := exchange(t, s.Address(), tt.request)
+			if resp.StatusCode != tt.status {
+				t.Fatalf("got %d %s", resp.StatusCode, body)
+			}
+			if tt.status == 200 && body != "hi" {
+				t.Fatalf("got body %q", body)
+			}
+			if tt.status == 400 && resp.Header.Get("Fescuethread-Outcome") != "not run" {
+				t.Fatal("the refusal does not say that nothing was run")
+			}
+		})
+	}
+}
+
+func TestSlowSenderHarmsNoOther(t *testing.T) {
+	s := start(t, 10, echo)
+	slow, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = slow.Close() }()
+	if _, err := io.WriteString(slow, "POST / HTTP/1.1\r\nContent-Le"); err != nil {
+		t.Fatal(err)
+	}
+	resp, _ := exchange(t, s.Address(), "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if resp.StatusCode != http.StatusOK {
+		t.Fatalf("got %d", resp.StatusCode)
+	}
+}
+
+func TestCallerThatLeavesCancelsItsRequest(t *testing.T) {
+	running := make(chan struct{})
+	cancelled := make(chan struct{})
+	s := start(t, 10, func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	conn, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	<-running
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	<-cancelled
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := start(t, 1, echo)
+	first, err := net.Dial("tcp", s.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	if _, err := io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	readAnswer(t, bufio.NewReader(first))
+	resp, _ := exchange(t, s.Address(), "")
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("got %d", resp.StatusCode)
+	}
+}
+
+func TestClosingAnswerIsWhole(t *testing.T) {
+	const answerBytes = 4 << 20
+	s := start(t, 10, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(answerBytes))
+		_, _ = w.Write(make([]byte, answerBytes))
+	})
+	request := "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	if _, body := exchange(t, s.Address(), request); len(body) != answerBytes {
+		t.Fatalf("got %d bytes", len(body))
+	}
+}
