--- /dev/null
+++ b/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier spaces out retries: exponential backoff with full jitter.
+package retrier
