registrar: check the asset inventory as a whole

Cause: the hosts need one checked form of the operators' asset register. Ruled out: decoding into tagged structs, since the decoder stops at the first wrong type and unit checks would lose their lines; a schema language, since one reader per section is shorter. Before: no inventory.

--- /dev/null
+++ b/registrar/doc.go
@@ -0,0 +1,2 @@
+// Package registrar checks the operators' asset inventory and holds it as an immutable value.
+package registrar
