identifier: issue identities and run each of them at most once

Cause: a non-idempotent operation may reach the system several times, through several hosts, and has to run at most once without a platform write per operation. Ruled out: a mapping of caller-brought keys to owners (two owners under partition) and a platform write per operation (several hundred writes a second for the whole fleet, outages). Change: an owner issues signed tokens bound to its incarnation and to customer, service and method, and its registry decides run, join, done, spent, unknown or refused. A refusal closes the token, so that an earlier copy of the request still on its way can't run after 'not run' was said; the refusal carries a renewed token. A stopping host exports its registry to one incarnation of one successor. Before: nothing.

--- /dev/null
+++ b/identifier/handover.go
@@ -0,0 +1,309 @@
+package identifier
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const handoverVersion = 1
+
+// exported is the handover that was made; it may only be repeated.
+type exported struct {
+	successor Owner
+	body      []byte
+}
+
+// handover is the encoded registry; its durations count from the instant of the export.
+type handover struct {
+	Version   int          `json:"version"`
+	From      Owner        `json:"from"`
+	Successor Owner        `json:"successor"`
+	Ledgers   []ledgerPart `json:"ledgers"`
+	Issued    []issuedPart `json:"issued"`
+}
+
+type ledgerPart struct {
+	Owner   Owner         `json:"owner"`
+	Key     []byte        `json:"key"`
+	Shift   time.Duration `json:"shift"`
+	Left    time.Duration `json:"left"`
+	Closed  bool          `json:"closed,omitempty"`
+	Records []recordPart  `json:"records"`
+}
+
+type recordPart struct {
+	Number      uint64        `json:"n"`
+	Generation  uint64        `json:"g,omitempty"`
+	Left        time.Duration `json:"l"`
+	Fingerprint []byte        `json:"f,omitempty"`
+	Phase       phase         `json:"p"`
+	Reason      string        `json:"r,omitempty"`
+	Answer      []byte        `json:"a,omitempty"`
+}
+
+type issuedPart struct {
+	Customer string        `json:"customer"`
+	Count    int           `json:"count"`
+	Left     time.Duration `json:"left"`
+}
+
+func (s *state) exportTo(now timer.Instant, successor Owner) ([]byte, error) {
+	const op = "export"
+	if s.export != nil && s.export.successor == successor {
+		return s.export.body, nil
+	}
+	if s.export != nil {
+		err := errors.Errorf("handed over to %s", s.export.successor.Host)
+		return nil, &Error{Op: op, Kind: KindMoved, Err: err}
+	}
+	if successor == s.cfg.Owner {
+		return nil, &Error{Op: op, Kind: KindMismatch, Err: errors.New("no successor of its own")}
+	}
+	s.forget(now)
+	body, err := json.Marshal(s.pack(now, successor))
+	if err != nil {
+		return nil, &Error{Op: op, Kind: KindMalformed, Err: errors.Wrap(err, "encode")}
+	}
+	// From here on this process runs nothing, whether or not the successor ever hears of it.
+	s.frozen = true
+	s.export = &exported{successor: successor, body: body}
+	return body, nil
+}
+
+func (s *state) pack(now timer.Instant, successor Owner) handover {
+	h := handover{Version: handoverVersion, From: s.cfg.Owner, Successor: successor}
+	h.Issued = s.calendar.parts(now)
+	budget := s.cfg.MaxHandoverBytes - handoverEnvelopeBytes
+	budget -= len(h.Issued) * handoverBucketBytes
+	p := packer{now: now, budget: budget, answers: make(map[*record]bool)}
+	p.chooseAnswers(s)
+	for _, l := range s.sortedLedgers() {
+		h.Ledgers = append(h.Ledgers, p.ledger(l, s.end(l)))
+	}
+	return h
+}
+
+func (s *state) sortedLedgers() []*ledger {
+	out := make([]*ledger, 0, len(s.ledgers))
+	for _, l := range s.ledgers {
+		out = append(out, l)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].owner.before(out[j].owner) })
+	return out
+}
+
+func (o Owner) before(other Owner) bool {
+	if o.Host != other.Host {
+		return o.Host < other.Host
+	}
+	return o.Incarnation < other.Incarnation
+}
+
+func (s *state) end(l *ledger) timer.Instant {
+	if l != s.own {
+		return l.end
+	}
+	return s.lastExpiry
+}
+
+// packer encodes ledgers within a budget of bytes.
+type packer struct {
+	now     timer.Instant
+	budget  int
+	answers map[*record]bool
+}
+
+// chooseAnswers keeps the newest answers that fit beside all records.
+func (p *packer) chooseAnswers(s *state) {
+	spare := p.budget
+	for _, l := range s.ledgers {
+		spare -= len(l.records) * handoverRecordBytes
+	}
+	for e := s.answers.Back(); e != nil; e = e.Prev() {
+		rec, _ := e.Value.(*record)
+		spare -= answerBytes(rec)
+		if spare < 0 {
+			return
+		}
+		p.answers[rec] = true
+	}
+}
+
+func answerBytes(rec *record) int {
+	return len(rec.answer)*handoverAnswerNumerator/handoverAnswerDivisor + handoverAnswerNumerator
+}
+
+func (p *packer) ledger(l *ledger, end timer.Instant) ledgerPart {
+	part := ledgerPart{
+		Owner:  l.owner,
+		Key:    l.key,
+		Shift:  l.offset - time.Duration(p.now),
+		Left:   end.Sub(p.now),
+		Closed: l.closed,
+	}
+	for _, rec := range l.sorted() {
+		if p.budget < handoverRecordBytes {
+			// What is left out must not look unused to the successor.
+			part.Closed = true
+			break
+		}
+		part.Records = append(part.Records, p.record(rec))
+	}
+	return part
+}
+
+func (l *ledger) sorted() []*record {
+	out := make([]*record, 0, len(l.records))
+	for _, rec := range l.records {
+		out = append(out, rec)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].number < out[j].number })
+	return out
+}
+
+func (p *packer) record(rec *record) recordPart {
+	p.budget -= handoverRecordBytes
+	part := recordPart{
+		Number:     rec.number,
+		Generation: rec.generation,
+		Left:       rec.expiry.Sub(p.now),
+		Phase:      rec.phase,
+		Reason:     rec.reason,
+	}
+	if rec.bound {
+		part.Fingerprint = rec.fingerprint[:]
+	}
+	switch {
+	case rec.phase == phaseRunning:
+		part.Phase = phaseUnknown
+	case rec.phase == phaseAnswered && p.answers[rec]:
+		part.Answer = rec.answer
+		p.budget -= answerBytes(rec)
+	case rec.phase == phaseAnswered:
+		part.Phase = phaseSpent
+	}
+	return part
+}
+
+func (c *calendar) parts(now timer.Instant) []issuedPart {
+	var out []issuedPart
+	for i, b := range c.buckets {
+		end := timer.Instant((i + 1) * int64(c.width))
+		for customer, n := range b.issued {
+			out = append(out, issuedPart{Customer: customer, Count: n, Left: end.Sub(now)})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Left != out[j].Left {
+			return out[i].Left < out[j].Left
+		}
+		return out[i].Customer < out[j].Customer
+	})
+	return out
+}
+
+func (s *state) adopt(now timer.Instant, body []byte) error {
+	const op = "adopt"
+	if s.frozen {
+		return &Error{Op: op, Kind: KindFrozen}
+	}
+	var h handover
+	if err := json.Unmarshal(body, &h); err != nil {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.Wrap(err, "decode")}
+	}
+	if h.Version != handoverVersion {
+		return &Error{Op: op, Kind: KindMalformed, Err: errors.Errorf("version %d", h.Version)}
+	}
+	if h.Successor != s.cfg.Owner || h.From == s.cfg.Owner {
+		err := errors.New("the handover is meant for another process")
+		return &Error{Op: op, Kind: KindMismatch, Err: err}
+	}
+	if _, ok := s.adopted[h.From]; ok {
+		return nil
+	}
+	return s.take(now, h)
+}
+
+func (s *state) take(now timer.Instant, h handover) error {
+	const op = "adopt"
+	s.forget(now)
+	if len(s.ledgers)+len(h.Ledgers) > maxLedgers {
+		return &Error{Op: op, Kind: KindFull}
+	}
+	taken := make([]*ledger, 0, len(h.Ledgers))
+	for _, part := range h.Ledgers {
+		l, err := part.ledger(now)
+		if err != nil {
+			return err
+		}
+		if s.ledgers[l.owner] != nil {
+			err := errors.Errorf("%s is answered for already", l.owner.Host)
+			return &Error{Op: op, Kind: KindMismatch, Err: err}
+		}
+		taken = append(taken, l)
+	}
+	for _, part := range h.Issued {
+		s.calendar.reserve(part.Customer, part.Count, now.Add(part.Left))
+	}
+	for _, l := range taken {
+		s.enter(l)
+	}
+	s.adopted[h.From] = struct{}{}
+	return nil
+}
+
+func (s *state) enter(l *ledger) {
+	s.ledgers[l.owner] = l
+	for _, rec := range l.sorted() {
+		s.calendar.add(l, rec)
+		if rec.phase == phaseAnswered {
+			s.keep(rec, rec.answer)
+		}
+	}
+}
+
+func (p ledgerPart) ledger(now timer.Instant) (*ledger, error) {
+	if len(p.Key) != keyBytes {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("signing key")}
+	}
+	l := newLedger(p.Owner, p.Key)
+	l.offset = p.Shift + time.Duration(now)
+	l.end = now.Add(p.Left)
+	l.closed = p.Closed
+	for _, part := range p.Records {
+		rec, err := part.record(now)
+		if err != nil {
+			return nil, err
+		}
+		l.records[rec.number] = rec
+	}
+	return l, nil
+}
+
+func (p recordPart) record(now timer.Instant) (*record, error) {
+	if p.Phase == phaseRunning || p.Phase > phaseUnknown {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("phase of a record")}
+	}
+	rec := &record{
+		number:     p.Number,
+		generation: p.Generation,
+		expiry:     now.Add(p.Left),
+		phase:      p.Phase,
+		reason:     p.Reason,
+		answer:     p.Answer,
+	}
+	if len(p.Fingerprint) == 0 {
+		return rec, nil
+	}
+	if len(p.Fingerprint) != fingerprintBytes {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("fingerprint")}
+	}
+	rec.fingerprint = [fingerprintBytes]byte(p.Fingerprint)
+	rec.bound = true
+	return rec, nil
+}
