detector: conclude membership from gossiped heartbeats

Cause: hosts need one view of who is live, leaving, left or dead, who reads the platform and who holds which document, at a cost that doesn't grow with the square of the fleet. Ruled out: full lists between all hosts (240 KB for 1,600 members of about 150 bytes); two speakers per zone that relay everything to their zone (the relay alone passes a host's budget by reckoning). Before: nothing.

--- /dev/null
+++ b/detector/zone.go
@@ -0,0 +1,238 @@
+package detector
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// maxSuspects bounds the fingerprints that a zone reports to the others.
+const maxSuspects = 16
+
+// zone is what is known of one availability zone.
+type zone struct {
+	name   string
+	region string
+	hosts  []string
+	// heard is the instant at which a sequence of the zone last grew, by the own clock.
+	heard timer.Instant
+	added timer.Instant
+	known bool
+	// speaker is the newest heartbeat that spoke for the zone.
+	speaker   *messenger.Member
+	speakerAt timer.Instant
+	// picks and rotation count the digests made for the zone.
+	picks    int
+	rotation int
+}
+
+// reportTicks is the number of periods between two reports to the same zone.
+func (t *Table) reportTicks() int {
+	return max(1, (len(t.order)+zonesPerPeriod-1)/zonesPerPeriod)
+}
+
+// cadence is the longest time between news of a zone that loses no message.
+func (t *Table) cadence() time.Duration {
+	return time.Duration(t.reportTicks()+1) * Period
+}
+
+// reports returns the digests for those remote zones that this host speaks to.
+func (t *Table) reports(now timer.Instant) []Message {
+	speakers := t.speakers(now)
+	place := slices.Index(speakers, t.cfg.Host)
+	if place < 0 {
+		return nil
+	}
+	var summary *messenger.Member
+	var out []Message
+	for i, name := range t.order {
+		if !speaksTo(i, place, len(speakers)) || (t.turn+i)%t.reportTicks() != 0 {
+			continue
+		}
+		if summary == nil {
+			summary = t.summary(now)
+		}
+		z := t.zones[name]
+		members := append([]*messenger.Member{summary}, t.notices(now, z)...)
+		digest := &messenger.Digest{From: t.cfg.Host, Members: members}
+		out = append(out, Message{To: t.pick(now, z), Digest: digest})
+	}
+	return out
+}
+
+// speaksTo spreads the remote zones over the speakers, two for each zone.
+func speaksTo(zone, place, speakers int) bool {
+	return place == zone%speakers || place == (zone+1)%speakers
+}
+
+// speakers lists the live hosts of the own zone by name.
+func (t *Table) speakers(now timer.Instant) []string {
+	return t.live(now, t.zones[t.cfg.Zone])
+}
+
+func (t *Table) live(now timer.Instant, z *zone) []string {
+	var out []string
+	for _, name := range z.hosts {
+		if t.State(now, name) == StateLive {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// pick chooses the receiver of a report in turn, mostly among hosts that aren't known to be gone.
+func (t *Table) pick(now timer.Instant, z *zone) string {
+	z.picks++
+	candidates := t.present(now, z)
+	if len(candidates) == 0 || z.picks%probeTicks == 0 {
+		candidates = z.hosts
+	}
+	return candidates[z.picks%len(candidates)]
+}
+
+func (t *Table) present(now timer.Instant, z *zone) []string {
+	var out []string
+	for _, name := range z.hosts {
+		state := t.State(now, name)
+		if state != StateDead && state != StateLeft {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// summary is the own heartbeat with contact, loads and suspects of the whole zone.
+func (t *Table) summary(now timer.Instant) *messenger.Member {
+	m := t.heartbeat(now)
+	sum := newSum(m.Loads)
+	for _, e := range t.mates() {
+		state, _ := t.judge(now, e)
+		if state != StateLive && state != StateLeaving {
+			continue
+		}
+		sum.add(e.member.Loads)
+		m.Contact = min(m.Contact, encodeContact(contactAge(now, e.member, e.heard)))
+		m.Suspects = union(m.Suspects, e.member.Suspects)
+	}
+	m.Loads = sum.loads()
+	return m
+}
+
+func (t *Table) mates() []*entry {
+	var out []*entry
+	for _, name := range t.zones[t.cfg.Zone].hosts {
+		if e := t.entries[name]; e != nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func union(a, b [][]byte) [][]byte {
+	out := slices.Clone(a)
+	for _, s := range b {
+		known := slices.ContainsFunc(out, func(o []byte) bool { return slices.Equal(o, s) })
+		if !known && len(out) < maxSuspects {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// sum adds up loads by service.
+type sum struct {
+	services map[string]*messenger.Load
+}
+
+func newSum(loads []*messenger.Load) *sum {
+	s := &sum{services: make(map[string]*messenger.Load)}
+	s.add(loads)
+	return s
+}
+
+func (s *sum) add(loads []*messenger.Load) {
+	for _, l := range loads {
+		total := s.services[l.Service]
+		if total == nil {
+			total = &messenger.Load{Service: l.Service}
+			s.services[l.Service] = total
+		}
+		total.Slots += l.Slots
+		total.Busy += l.Busy
+		total.Queued += l.Queued
+		total.Ready += l.Ready
+	}
+}
+
+func (s *sum) loads() []*messenger.Load {
+	out := make([]*messenger.Load, 0, len(s.services))
+	for _, l := range s.services {
+		out = append(out, l)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	return out
+}
+
+// notices tell a remote zone of the own zone's hosts: first what changed, then one in turn.
+func (t *Table) notices(now timer.Instant, z *zone) []*messenger.Member {
+	mates := t.mates()
+	if len(mates) == 0 {
+		return nil
+	}
+	var out []*messenger.Member
+	for _, e := range t.news(now, mates) {
+		out = append(out, t.notice(now, e))
+	}
+	z.rotation++
+	next := mates[z.rotation%len(mates)]
+	state, _ := t.judge(now, next)
+	if state == StateLive || state == StateLeaving {
+		out = append(out, notice(next.member))
+	}
+	return out
+}
+
+// news returns the mates that changed, newest change first.
+func (t *Table) news(now timer.Instant, mates []*entry) []*entry {
+	var out []*entry
+	heard := false
+	for _, e := range mates {
+		state, _ := t.judge(now, e)
+		heard = heard || state == StateLive
+		if t.newsworthy(now, e, state) {
+			out = append(out, e)
+		}
+	}
+	if !heard && len(mates) > 1 {
+		// A host that hears none of its zone is more likely cut off itself.
+		return nil
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].changed > out[j].changed })
+	return out[:min(len(out), noticesPerDigest)]
+}
+
+func (t *Table) newsworthy(now timer.Instant, e *entry, state State) bool {
+	switch state {
+	case StateDead, StateLeaving:
+		return true
+	case StateLeft:
+		return t.departed(now, e)
+	case StateLive:
+		return now.Sub(e.changed) < probeTicks*t.cadence()
+	default:
+		return false
+	}
+}
+
+// notice tells of a mate; the state is left out while the zone doesn't hear it.
+func (t *Table) notice(now timer.Instant, e *entry) *messenger.Member {
+	m := notice(e.member)
+	state, _ := t.judge(now, e)
+	if state == StateDead {
+		m.State = messenger.State_STATE_UNSPECIFIED
+	}
+	return m
+}
