--- /dev/null
+++ b/carrier/peer.go
@@ -0,0 +1,53 @@
+package carrier
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/messenger"
+)
+
+// Forward runs a request that a peer passes on.
+func (c *Carrier) Forward(
+	ctx context.Context, in *messenger.Request,
+) (*messenger.Reply, error) {
+	idempotent, ok := c.knows(in)
+	if !ok {
+		return notRun(http.StatusServiceUnavailable, ReasonService).toReply(in.GetId()), nil
+	}
+	w := fromRequest(c.now(), in, idempotent)
+	ctx, cancel := context.WithTimeout(ctx, w.left(c.now()))
+	defer cancel()
+	r := c.answerPeer(ctx, w, in.GetRole())
+	c.parts.Log.Log(eventPassed,
+		logger.F("request", w.ID),
+		logger.F("origin", w.Origin),
+		logger.F("outcome", outcomeName(r.Outcome)),
+		logger.F("reason", string(r.Reason)),
+		logger.F("target", r.Target),
+	)
+	return r.toReply(in.GetId()), nil
+}
+
+func (c *Carrier) answerPeer(ctx context.Context, w Work, role messenger.Role) Result {
+	switch {
+	case !c.granted(w):
+		return notRun(http.StatusUnauthorized, ReasonKey).WithHost(c.cfg.Host)
+	case role == messenger.Role_ROLE_OWN:
+		return c.own(ctx, w)
+	default:
+		return c.runNear(ctx, w, c.cfg.Zone)
+	}
+}
+
+// knows reports whether the service is in this host's inventory, and whether the method is
+// idempotent there.
+func (c *Carrier) knows(in *messenger.Request) (idempotent, ok bool) {
+	s := c.parts.Configuration.Snapshot()
+	if s == nil {
+		return false, false
+	}
+	service, ok := s.Inventory.Service(in.GetService())
+	return service.IsIdempotent(in.GetMethod()), ok
+}
--- /dev/null
+++ b/commander/root.go
@@ -0,0 +1,92 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+)
+
+// Environment is what commands read from and write to.
+type Environment struct {
+	// Out takes results.
+	Out io.Writer
+	// Err takes messages.
+	Err io.Writer
+	// In gives input.
+	In io.Reader
+}
+
+// builder makes one command; opts holds the flags that all commands share.
+type builder func(env Environment, opts *options) *cobra.Command
+
+var builders []builder
+
+// register adds a command; command files call it from init.
+func register(b builder) {
+	builders = append(builders, b)
+}
+
+// options are the flags that all commands share.
+type options struct {
+	output   string
+	platform string
+}
+
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+const longHelp = `fescuethread steers requests to a region and target that can serve them.
+
+Exit codes: 0 done; 1 failed; 2 wrong arguments; 3 input that does not pass its check;
+4 another operator's change came before; 5 platform or host does not answer;
+6 confirmation flag needed; 7 a wait ended before what it waited for.`
+
+// Run runs the command that args name and returns the program's exit code.
+func Run(ctx context.Context, env Environment, args []string) int {
+	opts := &options{}
+	root := newRoot(env, opts)
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	_, _ = fmt.Fprintln(env.Err, "fescuethread:", err)
+	var e *Error
+	if errors.As(err, &e) {
+		return e.exitCode()
+	}
+	return ExitUsage
+}
+
+func newRoot(env Environment, opts *options) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "fescuethread",
+		Short:         "Steer requests to a region and target that can serve them",
+		Long:          longHelp,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetOut(env.Out)
+	root.SetErr(env.Err)
+	flags := root.PersistentFlags()
+	flags.StringVarP(&opts.output, "output", "o", outputText, `form of results: "text" or "json"`)
+	flags.StringVar(&opts.platform, "platform", "", "IP address and port of the platform")
+	root.PersistentPreRunE = func(*cobra.Command, []string) error { return opts.check() }
+	for _, b := range builders {
+		root.AddCommand(b(env, opts))
+	}
+	return root
+}
+
+func (o *options) check() error {
+	if o.output != outputText && o.output != outputJSON {
+		cause := errors.Errorf("--output %q is neither \"text\" nor \"json\"", o.output)
+		return &Error{Op: "arguments", Kind: KindUsage, Err: cause}
+	}
+	return nil
+}
--- /dev/null
+++ b/reporter/doc.go
@@ -0,0 +1,2 @@
+// Package reporter serves operators: metrics, health, readiness, status and explanations.
+package reporter
