--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -160,7 +160,7 @@
 	if w.Customer == "" {
 		return Result{}, true
 	}
-	d := c.parts.Limiter.Admit(c.now(), AccountOf(w.Customer), 1)
+	d := c.parts.Limiter.Admit(AccountOf(w.Customer), 1)
 	if d.Admitted {
 		return Result{}, true
 	}
--- a/carrier/outcome.go
+++ b/carrier/outcome.go
@@ -30,6 +30,8 @@
 	ReasonLimit Reason = "limit"
 	// ReasonCapacity is a lack of free slots.
 	ReasonCapacity Reason = "no capacity"
+	// ReasonCap is a cap on shifts or links that is used up.
+	ReasonCap Reason = "cap"
 	// ReasonDeadline is a deadline that has passed or cannot be met.
 	ReasonDeadline Reason = "deadline"
 	// ReasonTarget is a target that could not be reached or broke its answer off.
--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -38,12 +38,20 @@
 
 // Limiter admits units of an account, fleet-wide.
 type Limiter interface {
-	Admit(now timer.Instant, account string, units int64) limiter.Decision
+	Admit(account string, units int64) limiter.Decision
 }
 
-// Router chooses the availability zones to try, in order.
+// Router chooses the availability zones to try, in order, and counts what is passed to them.
 type Router interface {
+	// Route orders the zones for a request.
 	Route(now timer.Instant, q router.Query) router.Decision
+	// Begin takes a request that is to be passed to another zone out of the caps on shifts and
+	// links; it reports false when one of them is used up.
+	Begin(service string, choice router.Choice, bytes int64) bool
+	// End tells that the request that Begin counted has ended.
+	End(choice router.Choice)
+	// Reply waits until the link to another region has room for an answer.
+	Reply(ctx context.Context, zone string, bytes int64) error
 }
 
 // Slots grants the slots of targets near this host.
--- a/carrier/peer.go
+++ b/carrier/peer.go
@@ -20,6 +20,9 @@
 	ctx, cancel := context.WithTimeout(ctx, w.left(c.now()))
 	defer cancel()
 	r := c.answerPeer(ctx, w, in.GetRole())
+	if err := c.parts.Router.Reply(ctx, w.Sender, int64(len(r.Body))); err != nil {
+		r = unknown(http.StatusGatewayTimeout, ReasonCap).WithHost(c.cfg.Host)
+	}
 	c.parts.Log.Log(eventPassed,
 		logger.F("request", w.ID),
 		logger.F("origin", w.Origin),
@@ -36,6 +39,8 @@
 		return notRun(http.StatusUnauthorized, ReasonKey).WithHost(c.cfg.Host)
 	case role == messenger.Role_ROLE_OWN:
 		return c.own(ctx, w)
+	case w.Zone != "":
+		return c.runNear(ctx, w, w.Zone)
 	default:
 		return c.runNear(ctx, w, c.cfg.Zone)
 	}
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -21,7 +21,7 @@
 func (c *Carrier) run(ctx context.Context, w Work) Result {
 	c.parts.Budget.First()
 	decision := c.parts.Router.Route(c.now(), router.Query{
-		Service: w.Service, Customer: w.Customer, Bytes: int64(len(w.Body)),
+		Service: w.Service, Customer: w.Customer,
 	})
 	result := notRun(http.StatusServiceUnavailable, ReasonCapacity)
 	mayHaveRun := false
@@ -60,6 +60,11 @@
 	if choice.Host == "" {
 		return c.runNear(ctx, w, choice.Zone)
 	}
+	if !c.parts.Router.Begin(w.Service, choice, int64(len(w.Body))) {
+		return notRun(http.StatusServiceUnavailable, ReasonCap)
+	}
+	defer c.parts.Router.End(choice)
+	w.Zone = choice.Zone
 	return c.pass(ctx, w, choice.Host, messenger.Role_ROLE_CARRY)
 }
 
@@ -137,6 +142,7 @@
 	if !ok || w.Hops >= maxHops {
 		return notRun(http.StatusServiceUnavailable, ReasonPeer)
 	}
+	w.Sender = c.cfg.Zone
 	reply, err := c.parts.Peers.Forward(ctx, peer.Peer, w.toRequest(c.now(), role))
 	if err == nil {
 		return fromReply(reply)
--- a/carrier/work.go
+++ b/carrier/work.go
@@ -38,6 +38,10 @@
 	Hops uint32
 	// Origin is the host that the caller sent the request to.
 	Origin string
+	// Sender is the availability zone of the host that passed the request on; empty for a caller.
+	Sender string
+	// Zone is the availability zone whose targets a peer asks for; empty means its own.
+	Zone string
 }
 
 // digestSize is the size of a fingerprint.
@@ -78,6 +82,8 @@
 		Budget:    uint64(max(w.left(now), 0).Microseconds()),
 		Hops:      w.Hops + 1,
 		Origin:    w.Origin,
+		Sender:    w.Sender,
+		Zone:      w.Zone,
 	}
 }
 
@@ -98,6 +104,8 @@
 		Deadline:   now.Add(time.Duration(budget) * time.Microsecond),
 		Hops:       in.GetHops(),
 		Origin:     in.GetOrigin(),
+		Sender:     in.GetSender(),
+		Zone:       in.GetZone(),
 	}
 }
 
--- a/detector/zone.go
+++ b/detector/zone.go
@@ -142,28 +142,36 @@
 	return out
 }
 
+// loadKey names the targets of one service in one availability zone.
+type loadKey struct {
+	az      string
+	service string
+}
+
 // sum adds up loads by service.
 type sum struct {
-	services map[string]*messenger.Load
+	services map[loadKey]*messenger.Load
 }
 
 func newSum(loads []*messenger.Load) *sum {
-	s := &sum{services: make(map[string]*messenger.Load)}
+	s := &sum{services: make(map[loadKey]*messenger.Load)}
 	s.add(loads)
 	return s
 }
 
 func (s *sum) add(loads []*messenger.Load) {
 	for _, l := range loads {
-		total := s.services[l.Service]
+		key := loadKey{az: l.Az, service: l.Service}
+		total := s.services[key]
 		if total == nil {
-			total = &messenger.Load{Service: l.Service}
-			s.services[l.Service] = total
+			total = &messenger.Load{Az: l.Az, Service: l.Service}
+			s.services[key] = total
 		}
 		total.Slots += l.Slots
 		total.Busy += l.Busy
 		total.Queued += l.Queued
 		total.Ready += l.Ready
+		total.Took = max(total.Took, l.Took)
 	}
 }
 
@@ -172,10 +180,17 @@
 	for _, l := range s.services {
 		out = append(out, l)
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Service < out[j].Service })
+	sort.Slice(out, func(i, j int) bool { return lessLoad(out[i], out[j]) })
 	return out
 }
 
+func lessLoad(a, b *messenger.Load) bool {
+	if a.Az != b.Az {
+		return a.Az < b.Az
+	}
+	return a.Service < b.Service
+}
+
 // notices tell a remote zone of the own zone's hosts: first what changed, then one in turn.
 func (t *Table) notices(now timer.Instant, z *zone) []*messenger.Member {
 	mates := t.mates()
--- a/enforcer/doc.go
+++ b/enforcer/doc.go
@@ -1,3 +1,3 @@
-// Package enforcer turns accepted documents into the configuration in force and tells the parts that
-// follow it.
+// Package enforcer turns accepted documents into the configuration in force and tells the parts
+// that follow it.
 package enforcer
--- /dev/null
+++ b/enforcer/error.go
@@ -0,0 +1,31 @@
+package enforcer
+
+import "fmt"
+
+// Kind classifies the package's errors.
+type Kind string
+
+const (
+	// KindDocument is a document that cannot be put in force.
+	KindDocument Kind = "document"
+)
+
+// Error is the package's error: the operation, its kind and the cause.
+type Error struct {
+	// Op is the operation that failed.
+	Op string
+	// Kind classifies the failure.
+	Kind Kind
+	// Err is the cause.
+	Err error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("enforcer: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/prober/doc.go
@@ -0,0 +1,2 @@
+// Package prober asks the targets near this host for their health and load.
+package prober
--- a/router/decide.go
+++ b/router/decide.go
@@ -5,11 +5,6 @@
 	"time"
 )
 
-// Caps says whether one more request may shift between regions.
-type Caps interface {
-	Allow(q Query, region string) bool
-}
-
 // Picker picks one of n entry hosts.
 type Picker interface {
 	IntN(n int) int
@@ -24,7 +19,7 @@
 
 // Decide orders the zones for a request. Prefer rules go first, then the expected delay: the trip
 // and the wait. Zones without a fresh report follow in the order of distance and standing weight.
-func Decide(q Query, region string, zones []Zone, caps Caps, p Picker) Decision {
+func Decide(region string, zones []Zone, p Picker) Decision {
 	var d Decision
 	candidates := make([]candidate, 0, len(zones))
 	for _, z := range zones {
@@ -36,14 +31,7 @@
 		candidates = append(candidates, assess(region, z))
 	}
 	slices.SortStableFunc(candidates, compare)
-	for _, c := range candidates {
-		if len(d.Choices) == maxChoices {
-			break
-		}
-		if c.zone.Region != region && !caps.Allow(q, c.zone.Region) {
-			d.Passed = append(d.Passed, Omission{Zone: c.zone.Name, Reason: OmitCap})
-			continue
-		}
+	for _, c := range candidates[:min(len(candidates), maxChoices)] {
 		d.Choices = append(d.Choices, choose(c, p))
 	}
 	return d
@@ -118,7 +106,7 @@
 const unranked = 1 << 20
 
 func choose(c candidate, p Picker) Choice {
-	choice := Choice{Zone: c.zone.Name, Rule: c.rule, Delay: c.delay}
+	choice := Choice{Zone: c.zone.Name, Region: c.zone.Region, Rule: c.rule, Delay: c.delay}
 	if !c.zone.Near {
 		choice.Host = c.zone.Hosts[p.IntN(len(c.zone.Hosts))]
 	}
--- a/router/decision.go
+++ b/router/decision.go
@@ -8,8 +8,6 @@
 	Service string
 	// Customer is the customer; empty on open routes.
 	Customer string
-	// Bytes is the size of the request.
-	Bytes int64
 }
 
 // Rule names the reason of a choice.
@@ -32,6 +30,8 @@
 type Choice struct {
 	// Zone is the availability zone.
 	Zone string
+	// Region is the zone's region.
+	Region string
 	// Host is the entry host to pass the request to; empty means this host.
 	Host string
 	// Rule is the reason.
@@ -68,6 +68,4 @@
 	OmitDraining OmissionReason = "draining"
 	// OmitAllotment is a zone to which this host has passed on all that it may at present.
 	OmitAllotment OmissionReason = "allotment used up"
-	// OmitCap is a region whose cap on shifts is used up.
-	OmitCap OmissionReason = "cap on shifts"
 )
--- /dev/null
+++ b/surveyor/surveyor.go
@@ -0,0 +1,240 @@
+package surveyor
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fescuethread/fescuethread/detector"
+	"github.com/fescuethread/fescuethread/limiter"
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/registrar"
+	"github.com/fescuethread/fescuethread/router"
+	"github.com/fescuethread/fescuethread/scheduler"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// nearRTT is the round-trip time between availability zones of one region.
+const nearRTT = time.Millisecond
+
+// Configuration gives what the operators laid down.
+type Configuration interface {
+	// Inventory returns the inventory in force, or nil.
+	Inventory() *registrar.Inventory
+	// DrainsZone reports whether a zone takes no new work.
+	DrainsZone(zone string) bool
+}
+
+// Slots tells what this host knows of targets at first hand.
+type Slots interface {
+	// Near returns the zones that this host holds slots of.
+	Near() []string
+	// Loads returns the loads of a zone's services.
+	Loads(zone string) []scheduler.Load
+}
+
+// Members tells what other hosts report.
+type Members interface {
+	Members(now timer.Instant) []detector.MemberView
+}
+
+// Limiter admits units of an account.
+type Limiter interface {
+	Admit(account string, units int64) limiter.Decision
+}
+
+// Surveyor gathers the signals and routes by them.
+type Surveyor struct {
+	host    string
+	zone    string
+	cfg     Configuration
+	slots   Slots
+	members Members
+	limiter Limiter
+
+	mu       sync.Mutex
+	inFlight map[string]int
+}
+
+// New returns a surveyor for a host of an availability zone.
+func New(
+	host, zone string, cfg Configuration, s Slots, m Members, l Limiter,
+) *Surveyor {
+	return &Surveyor{
+		host:     host,
+		zone:     zone,
+		cfg:      cfg,
+		slots:    s,
+		members:  m,
+		limiter:  l,
+		inFlight: make(map[string]int),
+	}
+}
+
+// Route orders the zones for a request.
+func (s *Surveyor) Route(now timer.Instant, q router.Query) router.Decision {
+	inv := s.cfg.Inventory()
+	if inv == nil {
+		return router.Decision{}
+	}
+	own, _ := inv.Zone(s.zone)
+	return router.Decide(own.Region, s.Survey(now, q), picker{})
+}
+
+// picker spreads requests over the hosts of a zone.
+type picker struct{}
+
+// IntN returns a number below n.
+func (picker) IntN(n int) int {
+	return rand.IntN(n)
+}
+
+// Survey returns what is known of each zone that has targets of the service.
+func (s *Surveyor) Survey(now timer.Instant, q router.Query) []router.Zone {
+	inv := s.cfg.Inventory()
+	if inv == nil {
+		return nil
+	}
+	v := &view{
+		surveyor: s,
+		inv:      inv,
+		query:    q,
+		members:  s.members.Members(now),
+		near:     s.slots.Near(),
+		rules:    findRules(inv, q),
+	}
+	var zones []router.Zone
+	for _, z := range inv.Zones() {
+		if len(inv.TargetsIn(q.Service, z.Name)) > 0 {
+			zones = append(zones, v.zone(z))
+		}
+	}
+	return zones
+}
+
+// Begin takes a request out of the caps on shifts and links and counts it in.
+func (s *Surveyor) Begin(service string, choice router.Choice, bytes int64) bool {
+	if !s.charge(service, choice.Region, bytes) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight[choice.Zone]++
+	return true
+}
+
+// End counts a request out.
+func (s *Surveyor) End(choice router.Choice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inFlight[choice.Zone]--
+}
+
+func (s *Surveyor) charge(service, region string, bytes int64) bool {
+	inv := s.cfg.Inventory()
+	own, _ := inv.Zone(s.zone)
+	if own.Region == region {
+		return true
+	}
+	for _, r := range inv.Rules() {
+		if !capApplies(r, service, own.Region, region) {
+			continue
+		}
+		if !s.limiter.Admit(CapAccount(r), 1).Admitted {
+			return false
+		}
+	}
+	if _, ok := inv.Link(own.Region, region); !ok {
+		return true
+	}
+	return s.limiter.Admit(LinkAccount(own.Region, region), max(bytes, 1)).Admitted
+}
+
+func capApplies(r registrar.Rule, service, from, to string) bool {
+	if r.Kind != registrar.RuleCap || r.From != from || r.To != to {
+		return false
+	}
+	return r.Service == "" || r.Service == service
+}
+
+// Reply waits until the link to the sender's region has room for an answer.
+func (s *Surveyor) Reply(ctx context.Context, zone string, bytes int64) error {
+	inv := s.cfg.Inventory()
+	own, _ := inv.Zone(s.zone)
+	to, ok := inv.Zone(zone)
+	if !ok || to.Region == own.Region || bytes == 0 {
+		return nil
+	}
+	if _, ok := inv.Link(own.Region, to.Region); !ok {
+		return nil
+	}
+	account := LinkAccount(own.Region, to.Region)
+	for {
+		d := s.limiter.Admit(account, bytes)
+		if d.Admitted {
+			return nil
+		}
+		if err := pause(ctx, max(d.Retry, time.Millisecond)); err != nil {
+			return err
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// LinkAccount names the limiter's account of the link from one region to another.
+func LinkAccount(from, to string) string {
+	return "link/" + from + "/" + to
+}
+
+// CapAccount names the limiter's account of a cap on shifts.
+func CapAccount(r registrar.Rule) string {
+	return "cap/" + r.Service + "/" + r.From + "/" + r.To
+}
+
+// loadOf adds up the reports of the hosts that hold slots of a zone.
+func loadOf(zone, service string, members []detector.MemberView) (router.Load, []string) {
+	var sum router.Load
+	var hosts []string
+	for _, m := range members {
+		if m.State != detector.StateLive {
+			continue
+		}
+		for _, l := range m.Loads {
+			if l.GetService() != service || zoneOf(m, l) != zone || l.GetSlots() == 0 {
+				continue
+			}
+			sum = addLoad(sum, l, m.Age)
+			hosts = append(hosts, m.Host.Name)
+		}
+	}
+	return sum, hosts
+}
+
+func zoneOf(m detector.MemberView, l *messenger.Load) string {
+	if l.GetAz() != "" {
+		return l.GetAz()
+	}
+	return m.Host.Zone
+}
+
+func addLoad(sum router.Load, l *messenger.Load, age time.Duration) router.Load {
+	return router.Load{
+		Known:   true,
+		Age:     max(sum.Age, age),
+		Ready:   sum.Ready + int(l.GetReady()),
+		Busy:    sum.Busy + int(l.GetBusy()),
+		Queued:  sum.Queued + int(l.GetQueued()),
+		Service: max(sum.Service, time.Duration(l.GetTook())*time.Microsecond),
+	}
+}
