spec: check the ownership of non-idempotent operations

Cause: that an operation runs at most once and that 'not run' is true depend on orders of deaths, pauses, handovers and late copies that tests reach only by chance. Ruled out: one model with a switch for each fault; broken variants beside it show that each rule is needed. Seven variants each drop one rule: incarnations, finality of unknown outcomes, no run after the export, tokens closed by a refusal, refusals only by the owner, adoption once, the successor's incarnation. Conclusion: a handover has to name the successor's incarnation, and a host that refuses a request with an identity has to let the owner close the token first, else 'not run' can be false.

--- /dev/null
+++ b/spec/ownership.pml
@@ -0,0 +1,1 @@
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_hostrefuses.pml
@@ -0,0 +1,2 @@
+#define BROKEN_HOSTREFUSES
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_noincarnation.pml
@@ -0,0 +1,2 @@
+#define BROKEN_NOINCARNATION
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_readopt.pml
@@ -0,0 +1,2 @@
+#define BROKEN_READOPT
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_retryafterunknown.pml
@@ -0,0 +1,2 @@
+#define BROKEN_RETRYAFTERUNKNOWN
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_runafterexport.pml
@@ -0,0 +1,2 @@
+#define BROKEN_RUNAFTEREXPORT
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_successorincarnation.pml
@@ -0,0 +1,2 @@
+#define BROKEN_SUCCESSORINCARNATION
+#include "ownership.inc"
--- /dev/null
+++ b/spec/ownership_broken_unsealed.pml
@@ -0,0 +1,2 @@
+#define BROKEN_UNSEALED
+#include "ownership.inc"
