--- a/identifier/handover.go
+++ b/identifier/handover.go
@@ -10,7 +10,18 @@
 	"github.com/fescuethread/fescuethread/timer"
 )
 
-const handoverVersion = 1
+const (
+	handoverVersion = 1
+	// handoverEnvelopeBytes is set aside for the parts of a handover that aren't counted.
+	handoverEnvelopeBytes = 4096
+	// handoverRecordBytes is an ordinary record without its answer.
+	handoverRecordBytes = 80
+	// handoverIssuedBytes is a count of issued identities.
+	handoverIssuedBytes = 128
+	// base64 makes four bytes of three.
+	base64Numerator   = 4
+	base64Denominator = 3
+)
 
 // exported is the handover that was made; it may only be repeated.
 type exported struct {
@@ -28,12 +39,13 @@
 }
 
 type ledgerPart struct {
-	Owner   Owner         `json:"owner"`
-	Key     []byte        `json:"key"`
-	Shift   time.Duration `json:"shift"`
-	Left    time.Duration `json:"left"`
-	Closed  bool          `json:"closed,omitempty"`
-	Records []recordPart  `json:"records"`
+	Owner  Owner         `json:"owner"`
+	Key    []byte        `json:"key"`
+	Shift  time.Duration `json:"shift"`
+	Left   time.Duration `json:"left"`
+	Closed bool          `json:"closed,omitempty"`
+	// Records are encoded one by one, so that their sizes are known.
+	Records []json.RawMessage `json:"records"`
 }
 
 type recordPart struct {
@@ -65,7 +77,11 @@
 		return nil, &Error{Op: op, Kind: KindMismatch, Err: errors.New("no successor of its own")}
 	}
 	s.forget(now)
-	body, err := json.Marshal(s.pack(now, successor))
+	h, err := s.pack(now, successor)
+	if err != nil {
+		return nil, err
+	}
+	body, err := json.Marshal(h)
 	if err != nil {
 		return nil, &Error{Op: op, Kind: KindMalformed, Err: errors.Wrap(err, "encode")}
 	}
@@ -75,17 +91,21 @@
 	return body, nil
 }
 
-func (s *state) pack(now timer.Instant, successor Owner) handover {
+func (s *state) pack(now timer.Instant, successor Owner) (handover, error) {
 	h := handover{Version: handoverVersion, From: s.cfg.Owner, Successor: successor}
 	h.Issued = s.calendar.parts(now)
 	budget := s.cfg.MaxHandoverBytes - handoverEnvelopeBytes
-	budget -= len(h.Issued) * handoverBucketBytes
+	budget -= len(h.Issued) * handoverIssuedBytes
 	p := packer{now: now, budget: budget, answers: make(map[*record]bool)}
 	p.chooseAnswers(s)
 	for _, l := range s.sortedLedgers() {
-		h.Ledgers = append(h.Ledgers, p.ledger(l, s.end(l)))
+		part, err := p.ledger(l, s.end(l))
+		if err != nil {
+			return handover{}, err
+		}
+		h.Ledgers = append(h.Ledgers, part)
 	}
-	return h
+	return h, nil
 }
 
 func (s *state) sortedLedgers() []*ledger {
@@ -135,10 +155,10 @@
 }
 
 func answerBytes(rec *record) int {
-	return len(rec.answer)*handoverAnswerNumerator/handoverAnswerDivisor + handoverAnswerNumerator
+	return (len(rec.answer) + base64Denominator) * base64Numerator / base64Denominator
 }
 
-func (p *packer) ledger(l *ledger, end timer.Instant) ledgerPart {
+func (p *packer) ledger(l *ledger, end timer.Instant) (ledgerPart, error) {
 	part := ledgerPart{
 		Owner:  l.owner,
 		Key:    l.key,
@@ -147,14 +167,19 @@
 		Closed: l.closed,
 	}
 	for _, rec := range l.sorted() {
-		if p.budget < handoverRecordBytes {
+		raw, err := json.Marshal(p.record(rec))
+		if err != nil {
+			return part, &Error{Op: "export", Kind: KindMalformed, Err: errors.Wrap(err, "encode")}
+		}
+		p.budget -= len(raw) + 1
+		if p.budget < 0 {
 			// What is left out must not look unused to the successor.
 			part.Closed = true
 			break
 		}
-		part.Records = append(part.Records, p.record(rec))
+		part.Records = append(part.Records, raw)
 	}
-	return part
+	return part, nil
 }
 
 func (l *ledger) sorted() []*record {
@@ -167,7 +192,6 @@
 }
 
 func (p *packer) record(rec *record) recordPart {
-	p.budget -= handoverRecordBytes
 	part := recordPart{
 		Number:     rec.number,
 		Generation: rec.generation,
@@ -175,18 +199,19 @@
 		Phase:      rec.phase,
 		Reason:     rec.reason,
 	}
-	if rec.bound {
-		part.Fingerprint = rec.fingerprint[:]
-	}
 	switch {
 	case rec.phase == phaseRunning:
 		part.Phase = phaseUnknown
 	case rec.phase == phaseAnswered && p.answers[rec]:
 		part.Answer = rec.answer
-		p.budget -= answerBytes(rec)
 	case rec.phase == phaseAnswered:
 		part.Phase = phaseSpent
 	}
+	// Spent and unknown operations get the same reply whatever the request.
+	replies := part.Phase == phaseFree || part.Phase == phaseAnswered
+	if rec.bound && replies {
+		part.Fingerprint = rec.fingerprint[:]
+	}
 	return part
 }
 
@@ -275,8 +300,8 @@
 	l.offset = p.Shift + time.Duration(now)
 	l.end = now.Add(p.Left)
 	l.closed = p.Closed
-	for _, part := range p.Records {
-		rec, err := part.record(now)
+	for _, raw := range p.Records {
+		rec, err := decodeRecord(now, raw)
 		if err != nil {
 			return nil, err
 		}
@@ -285,6 +310,14 @@
 	return l, nil
 }
 
+func decodeRecord(now timer.Instant, raw []byte) (*record, error) {
+	var part recordPart
+	if err := json.Unmarshal(raw, &part); err != nil {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.Wrap(err, "decode")}
+	}
+	return part.record(now)
+}
+
 func (p recordPart) record(now timer.Instant) (*record, error) {
 	if p.Phase == phaseRunning || p.Phase > phaseUnknown {
 		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("phase of a record")}
--- a/identifier/registry.go
+++ b/identifier/registry.go
@@ -11,19 +11,16 @@
 )
 
 const (
-	defaultLifetime         = 2 * time.Minute
-	defaultRunTimeout       = time.Minute
-	defaultIdentities       = 1 << 16
-	defaultCustomerPart     = 2
-	defaultAnswerBytes      = 8 << 20
-	defaultHandoverBytes    = 3 << 20
-	maxLedgers              = 16
-	maxReasonBytes          = 64
-	handoverRecordBytes     = 192
-	handoverEnvelopeBytes   = 4096
-	handoverBucketBytes     = 64
-	handoverAnswerNumerator = 4
-	handoverAnswerDivisor   = 3
+	defaultLifetime   = 2 * time.Minute
+	defaultRunTimeout = time.Minute
+	defaultIdentities = 1 << 16
+	// defaultCustomerPart is the part of the identities that one customer may hold.
+	defaultCustomerPart  = 2
+	defaultAnswerBytes   = 8 << 20
+	defaultHandoverBytes = 3 << 20
+	// maxLedgers bounds the owners that one process answers for.
+	maxLedgers     = 16
+	maxReasonBytes = 64
 )
 
 // Config sets the bounds of a registry.
--- a/identifier/registry_test.go
+++ b/identifier/registry_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -17,7 +19,7 @@
 	body   = [32]byte{1}
 )
 
-func newRegistry(t testing.TB, o Owner, change func(*Config)) *Registry {
+func newRegistry(t rapid.TB, o Owner, change func(*Config)) *Registry {
 	t.Helper()
 	cfg := DefaultConfig(o)
 	if change != nil {
@@ -30,7 +32,7 @@
 	return r
 }
 
-func issue(t testing.TB, r *Registry, now timer.Instant) string {
+func issue(t rapid.TB, r *Registry, now timer.Instant) string {
 	t.Helper()
 	token, err := r.Issue(now, booked)
 	if err != nil {
@@ -39,7 +41,7 @@
 	return token
 }
 
-func begin(t testing.TB, r *Registry, now timer.Instant, token string, want Outcome) Claim {
+func begin(t rapid.TB, r *Registry, now timer.Instant, token string, want Outcome) Claim {
 	t.Helper()
 	c, err := r.Begin(now, token, booked, body)
 	if err != nil {
@@ -51,7 +53,7 @@
 	return c
 }
 
-func wantKind(t testing.TB, err error, want Kind) {
+func wantKind(t rapid.TB, err error, want Kind) {
 	t.Helper()
 	var e *Error
 	if !errors.As(err, &e) || e.Kind != want {
@@ -180,13 +182,33 @@
 	wantKind(t, err, KindForeign)
 }
 
-func adopt(t testing.TB, r *Registry, now timer.Instant, export []byte) {
+func adopt(t rapid.TB, r *Registry, now timer.Instant, export []byte) {
 	t.Helper()
 	if err := r.Adopt(now, export); err != nil {
 		t.Fatal(err)
 	}
 }
 
+func TestHandoverThatIsTooLargeClosesTheRest(t *testing.T) {
+	from := newRegistry(t, owner, func(cfg *Config) { cfg.MaxHandoverBytes = 8192 })
+	tokens := make([]string, 300)
+	for i := range tokens {
+		tokens[i] = issue(t, from, start)
+		r := begin(t, from, start, tokens[i], OutcomeRun)
+		from.Finish(r, Answered(make([]byte, 100)))
+	}
+	unused := issue(t, from, start)
+	export, err := from.Export(start, heir)
+	if err != nil || len(export) > 8192 {
+		t.Fatalf("export of %d bytes: %v", len(export), err)
+	}
+	to := newRegistry(t, heir, nil)
+	adopt(t, to, start, export)
+	begin(t, to, start, unused, OutcomeUnknown)
+	begin(t, to, start, tokens[0], OutcomeSpent)
+	begin(t, to, start, tokens[299], OutcomeUnknown)
+}
+
 func TestAnotherIncarnationAdoptsNothing(t *testing.T) {
 	from := newRegistry(t, owner, nil)
 	export, err := from.Export(start, heir)
