--- /dev/null
+++ b/assembler/duty.go
@@ -0,0 +1,84 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuethread/fescuethread/detector"
+	"github.com/fescuethread/fescuethread/enforcer"
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// Describe sets what the own heartbeat says.
+func (h *Host) Describe(now timer.Instant, t *detector.Table) {
+	t.SetState(messenger.State(h.state.Load()))
+	t.SetDocuments(h.enforcer.Versions())
+	t.SetLoads(h.loads())
+	if at, ok := h.reader.Contact(); ok {
+		t.SetContact(at)
+	}
+}
+
+// loads returns the loads of all zones that this host holds slots of.
+func (h *Host) loads() []*messenger.Load {
+	var loads []*messenger.Load
+	for _, zone := range h.granter.Near() {
+		for _, l := range h.granter.Loads(zone) {
+			loads = append(loads, &messenger.Load{
+				Az:      zone,
+				Service: l.Service,
+				Slots:   uint32(l.Slots),
+				Busy:    uint32(l.Busy),
+				Queued:  uint32(l.Queued),
+				Ready:   uint32(l.Ready),
+				Took:    uint32(l.Took / time.Microsecond),
+			})
+		}
+	}
+	return loads
+}
+
+// Paused gives up all slots after a pause, because others may have taken them meanwhile.
+func (h *Host) Paused(now timer.Instant) {
+	h.holdings.release(now)
+}
+
+// Round brings what depends on the membership up to date.
+func (h *Host) Round(now timer.Instant) {
+	inv := h.enforcer.Inventory()
+	if inv == nil {
+		return
+	}
+	h.holdings.assign(inv, now)
+	for _, m := range h.detector.Members(now) {
+		h.acknowledge(m)
+	}
+	h.pull(now)
+}
+
+// acknowledge tells the limiter which version of the limits a host has in force.
+func (h *Host) acknowledge(m detector.MemberView) {
+	for _, d := range m.Documents {
+		if d.GetName() == enforcer.DocumentInventory {
+			h.limiter.Acknowledge(m.Host.Name, m.Incarnation, d.GetVersion())
+		}
+	}
+}
+
+// runHousekeeping forgets what has expired, until ctx ends.
+func (h *Host) runHousekeeping(ctx context.Context) error {
+	ticker := h.timer.Subscribe(housekeepingPeriod)
+	defer ticker.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case tick := <-ticker.C():
+			h.registry.Sweep(tick.At)
+			h.granter.Tick(tick.At)
+			h.forwarder.Sweep(tick.At)
+			h.budget.refill(tick.At)
+		}
+	}
+}
--- a/assembler/members.go
+++ b/assembler/members.go
@@ -10,6 +10,7 @@
 // members answers for look-ups and operations what the detector concludes.
 type members struct {
 	owner    identifier.Owner
+	registry *identifier.Registry
 	detector *detector.Detector
 }
 
@@ -31,7 +32,7 @@
 // Owner returns the host that answers for an owner's operations: itself, or its successor.
 func (m *members) Owner(owner identifier.Owner) string {
 	if owner == m.owner {
-		return owner.Host
+		return m.ownAnswerer()
 	}
 	v, ok := m.detector.Member(timer.Now(), owner.Host)
 	if ok && v.State == detector.StateLeft && v.Successor != "" {
@@ -39,3 +40,11 @@
 	}
 	return owner.Host
 }
+
+// ownAnswerer returns this host, or the successor that its operations were handed to.
+func (m *members) ownAnswerer() string {
+	if successor := m.registry.Stats().Successor; successor.Host != "" {
+		return successor.Host
+	}
+	return m.owner.Host
+}
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,8 +58,8 @@
 	parts Parts
 	count atomic.Uint64
 	stats stats
-	// running counts operations that go on after their caller has left.
-	running sync.WaitGroup
+	// inFlight counts requests and operations.
+	inFlight atomic.Int64
 }
 
 // New returns a carrier.
@@ -77,7 +76,7 @@
 	return c.parts.Now()
 }
 
-// Wait returns once no operation runs any more.
-func (c *Carrier) Wait() {
-	c.running.Wait()
+// InFlight returns the number of requests of callers and peers that are being served.
+func (c *Carrier) InFlight() int {
+	return int(c.inFlight.Load())
 }
--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -35,6 +35,8 @@
 
 // ServeHTTP serves a caller.
 func (c *Carrier) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
 	switch {
 	case r.URL.Path == pathLookup:
 		c.serveLookup(w, r)
--- a/carrier/operation.go
+++ b/carrier/operation.go
@@ -51,9 +51,9 @@
 func (c *Carrier) start(ctx context.Context, w Work, claim identifier.Claim) <-chan Result {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.left(c.now()))
 	out := make(chan Result, 1)
-	c.running.Add(1)
+	c.inFlight.Add(1)
 	go func() {
-		defer c.running.Done()
+		defer c.inFlight.Add(-1)
 		defer cancel()
 		r := c.admitAndRun(ctx, w)
 		claim = c.parts.Registry.Finish(claim, settled(w, r))
--- a/carrier/peer.go
+++ b/carrier/peer.go
@@ -12,6 +12,8 @@
 func (c *Carrier) Forward(
 	ctx context.Context, in *messenger.Request,
 ) (*messenger.Reply, error) {
+	c.inFlight.Add(1)
+	defer c.inFlight.Add(-1)
 	idempotent, ok := c.knows(in)
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, ReasonService).toReply(in.GetId()), nil
--- a/detector/table.go
+++ b/detector/table.go
@@ -125,6 +125,7 @@
 	t.entries = make(map[string]*entry, len(hosts))
 	for _, info := range hosts {
 		if info.Name == t.cfg.Host {
+			t.cfg.Region = info.Region
 			continue
 		}
 		e := old[info.Name]
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -130,6 +130,21 @@
 	g.logChanges(now)
 }
 
+// Announce makes a round at once and waits until every peer has answered or timed out.
+func (g *Gossiper) Announce(ctx context.Context) {
+	now := timer.Now()
+	g.detector.Update(func(t *detector.Table) { g.self.Describe(now, t) })
+	var wg sync.WaitGroup
+	for _, m := range g.detector.Tick(now) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			g.exchange(ctx, m)
+		}()
+	}
+	wg.Wait()
+}
+
 // offer drops the digest when the senders are behind; the next round brings a newer one.
 func (g *Gossiper) offer(m detector.Message) {
 	select {
--- a/main.go
+++ b/main.go
@@ -4,16 +4,11 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/fescuethread/fescuethread/commander"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	env := commander.Environment{Out: os.Stdout, Err: os.Stderr, In: os.Stdin}
-	code := commander.Run(ctx, env, os.Args[1:])
-	stop()
-	os.Exit(code)
+	os.Exit(commander.Run(context.Background(), env, os.Args[1:]))
 }
