assembler: join keys and the configuration's enforcement (in progress)

Cause: keyed routes need the standing rule on stale keys, operators their keys commands. Ruled out: deciding on the digest alone for forwarded requests; the receiver compares the versions of the key documents, so a key granted a moment ago is not refused by a host that is behind.

--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -141,7 +141,8 @@
 		return w, notRun(http.StatusForbidden, ReasonForbidden), false
 	}
 	w.Customer = grant.Customer
-	w.Digest = grant.Digest[:]
+	w.Digest = grant.Digest
+	w.Keys = s.Ring.Version()
 	return w, Result{}, true
 }
 
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -90,7 +90,7 @@
 		return true
 	}
 	s := c.parts.Configuration.Snapshot()
-	return s != nil && s.Ring.Granted(w.Digest)
+	return s != nil && s.Ring.Admits(w.Digest, w.Customer, w.Keys)
 }
 
 func (c *Carrier) exchange(ctx context.Context, w Work, slot Slot) Result {
--- a/carrier/work.go
+++ b/carrier/work.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/fescuethread/fescuethread/authenticator"
 	"github.com/fescuethread/fescuethread/identifier"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/timer"
@@ -17,7 +18,9 @@
 	// Customer is the customer whose key came with the request; empty on open routes.
 	Customer string
 	// Digest is the digest of that key.
-	Digest []byte
+	Digest authenticator.Digest
+	// Keys is the version of the key document that the request was admitted under.
+	Keys uint64
 	// Service is the service asked for.
 	Service string
 	// Method is the HTTP method.
@@ -72,7 +75,8 @@
 		Role:      role,
 		Id:        w.ID,
 		Customer:  w.Customer,
-		Digest:    w.Digest,
+		Digest:    w.Digest[:],
+		Keys:      w.Keys,
 		Service:   w.Service,
 		Method:    w.Method,
 		Path:      w.Path,
@@ -89,11 +93,14 @@
 
 // fromRequest decodes work that a peer passes on.
 func fromRequest(now timer.Instant, in *messenger.Request, idempotent bool) Work {
+	// A digest that does not parse stays zero, which no ring has granted.
+	digest, _ := authenticator.DigestFrom(in.GetDigest())
 	budget := min(in.GetBudget(), uint64(longestBudget.Microseconds()))
 	return Work{
 		ID:         in.GetId(),
 		Customer:   in.GetCustomer(),
-		Digest:     in.GetDigest(),
+		Digest:     digest,
+		Keys:       in.GetKeys(),
 		Service:    in.GetService(),
 		Method:     in.GetMethod(),
 		Path:       in.GetPath(),
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -165,7 +165,7 @@
 		c.Inventory, err = registrar.Parse(d.Name, d.Body)
 		c.Version = d.Version
 	case DocumentKeys:
-		c.Keys, err = authenticator.ParseRing(d.Body)
+		c.Keys, err = parseKeys(d)
 		c.KeysVersion = d.Version
 	case drainer.Document:
 		c.Drains, err = drainer.Parse(d.Body)
@@ -178,3 +178,11 @@
 	}
 	return c, nil
 }
+
+func parseKeys(d watcher.Document) (*authenticator.Ring, error) {
+	keys, err := authenticator.ParseDocument(d.Body)
+	if err != nil {
+		return nil, err
+	}
+	return authenticator.NewRing(keys, d.Version), nil
+}
--- /dev/null
+++ b/prover/failure_test.go
@@ -0,0 +1,211 @@
+package prover
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The owner is killed while the operation runs; the caller sends it again through another host.
+func TestOperationOfAKilledOwnerIsUnknown(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	for _, target := range f.targets {
+		f.behave(target, `{"fault":"late","delay":"1500ms"}`)
+	}
+	owner := f.hosts[0]
+	operation := f.issue(owner)
+	first := make(chan answer, 1)
+	go func() { first <- f.call("POST", owner.caller, "/bids", f.key, operation, "{}") }()
+	f.eventually("a target runs the operation", func() bool { return f.atMostOnce() == 1 })
+	owner.signal(t, syscall.SIGKILL)
+	<-first
+	again := f.call("POST", f.hosts[2].caller, "/bids", f.key, operation, "{}")
+	if again.outcome != "unknown" {
+		t.Fatalf("got %+v", again)
+	}
+	f.startHost(owner)
+	f.awaitReady(owner)
+	afterRestart := f.call("POST", owner.caller, "/bids", f.key, operation, "{}")
+	if afterRestart.outcome != "unknown" {
+		t.Fatalf("after the owner's restart: %+v", afterRestart)
+	}
+	if n := f.atMostOnce(); n != 1 {
+		t.Fatalf("%d operations ran", n)
+	}
+}
+
+// The owner is paused before the operation is sent, the caller gives up and tries another host,
+// and the owner goes on.
+func TestOperationOfAPausedOwnerRunsAtMostOnce(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	owner := f.hosts[0]
+	operation := f.issue(owner)
+	owner.signal(t, syscall.SIGSTOP)
+	var answers [2]answer
+	var wg sync.WaitGroup
+	for i, h := range []*host{f.hosts[1], f.hosts[2]} {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			answers[i] = f.call("POST", h.caller, "/bids", f.key, operation, "{}")
+		}()
+	}
+	wg.Wait()
+	owner.signal(t, syscall.SIGCONT)
+	for _, a := range answers {
+		if a.outcome == "not run" {
+			t.Errorf("a refusal claims that the operation did not run: %+v", a)
+		}
+	}
+	f.eventually("the owner serves again", func() bool {
+		return f.get(owner, "/catalogue").status == http.StatusOK
+	})
+	final := f.call("POST", f.hosts[1].caller, "/bids", f.key, operation, "{}")
+	if final.outcome == "not run" {
+		t.Errorf("final answer %+v", final)
+	}
+	f.atMostOnce()
+}
+
+// Platform outage and a host replaced during it: requests go on, and the new process takes the
+// newest configuration from peers.
+func TestHostReplacedDuringAPlatformOutage(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	f.faults(`{"down":true}`)
+	replaced := f.hosts[1]
+	replaced.signal(t, syscall.SIGKILL)
+	<-replaced.done
+	if a := f.get(f.hosts[0], "/catalogue"); a.status != http.StatusOK {
+		t.Fatalf("during the outage: %+v", a)
+	}
+	f.startHost(replaced)
+	f.awaitReady(replaced)
+	f.eventually("the replaced host serves", func() bool {
+		return f.get(replaced, "/catalogue").status == http.StatusOK
+	})
+}
+
+// A zone loses its only host: a host of the same region stands in and the zone's targets serve.
+func TestZoneWithoutAHostIsServedByItsRegion(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	f.hosts[1].signal(t, syscall.SIGKILL)
+	f.eventually("a host of the region stands in", func() bool {
+		return f.hosts[0].contains(`"standby of the region"`)
+	})
+	before := f.runsOf(f.targets[1]).Total
+	f.behave(f.targets[0], `{"fault":"fail","health":"failing"}`)
+	f.eventually("the zone's target runs requests", func() bool {
+		f.get(f.hosts[0], "/catalogue")
+		return f.runsOf(f.targets[1]).Total > before
+	})
+}
+
+// A graceful stop under traffic: no request of callers that follow look-up answers is cut.
+func TestGracefulStopCutsNoRequest(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	leaving := f.hosts[2]
+	var failed, served atomic.Int64
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				f.follow(&served, &failed)
+			}
+		}()
+	}
+	f.eventually("traffic flows", func() bool { return served.Load() > 50 })
+	leaving.signal(t, syscall.SIGTERM)
+	<-leaving.done
+	close(stop)
+	wg.Wait()
+	if code := leaving.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+	if failed.Load() != 0 {
+		t.Errorf("%d of %d requests failed", failed.Load(), served.Load()+failed.Load())
+	}
+}
+
+// follow looks up the entry hosts and sends one request to the first.
+func (f *fleet) follow(served, failed *atomic.Int64) {
+	address := f.lookup("west-a")
+	a := f.call("GET", address, "/catalogue", f.key, "", "")
+	if a.err != nil || a.status != http.StatusOK {
+		failed.Add(1)
+		f.t.Logf("%s: %+v", address, a)
+		return
+	}
+	served.Add(1)
+}
+
+// A write whose answer is lost is found out, and of two operators who race one gets a conflict.
+func TestApplyThroughLostAnswersAndARace(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	f.faults(`{"lose":1}`)
+	f.run("drain", "zone", "west-a")
+	var wg sync.WaitGroup
+	results := make([]error, 2)
+	for i := range results {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, results[i] = f.command("apply", "--expect", "1", f.inventory)
+		}()
+	}
+	wg.Wait()
+	if (results[0] == nil) == (results[1] == nil) {
+		t.Fatalf("race: %v and %v", results[0], results[1])
+	}
+}
+
+// The rate holds over all hosts together while a host is killed and the platform is down.
+func TestRateHoldsThroughAKillAndAnOutage(t *testing.T) {
+	spec := smallFleet()
+	spec.rate, spec.burst = 40, 40
+	f := newFleet(t, spec)
+	var admitted atomic.Int64
+	start := time.Now()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h := f.hosts[i%len(f.hosts)]
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				a := f.get(h, "/catalogue")
+				if a.err == nil && a.status == http.StatusOK {
+					admitted.Add(1)
+				}
+			}
+		}()
+	}
+	f.eventually("requests are admitted", func() bool { return admitted.Load() > 40 })
+	f.faults(`{"down":true}`)
+	f.hosts[1].signal(t, syscall.SIGKILL)
+	f.eventually("requests go on", func() bool { return admitted.Load() > 160 })
+	f.startHost(f.hosts[1])
+	f.eventually("requests go on after the replacement", func() bool { return admitted.Load() > 280 })
+	close(stop)
+	wg.Wait()
+	most := float64(spec.burst) + float64(spec.rate)*time.Since(start).Seconds()
+	if n := float64(admitted.Load()); n > most {
+		t.Errorf("admitted %.0f, the bound is %.0f", n, most)
+	}
+}
