assembler: serve the whole path as separate processes

Ruled out: admitting at once after a start: a new process holds no share for one loan term, since an earlier process of the host may have spent it; the host reports 'joining' and is left out of look-up answers until it holds its shares and slots. Conclusion: the thin whole path stands; some failure tests of prover do not pass yet.

--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -12,7 +12,7 @@
 
 // Describe sets what the own heartbeat says.
 func (h *Host) Describe(now timer.Instant, t *detector.Table) {
-	t.SetState(messenger.State(h.state.Load()))
+	t.SetState(h.heartbeatState())
 	t.SetDocuments(h.enforcer.Versions())
 	t.SetLoads(h.loads())
 	if at, ok := h.reader.Contact(); ok {
@@ -20,6 +20,15 @@
 	}
 }
 
+// heartbeatState returns the phase of the host's life for peers.
+func (h *Host) heartbeatState() messenger.State {
+	state := messenger.State(h.state.Load())
+	if state == messenger.State_STATE_LIVE && !h.joined.Load() {
+		return messenger.State_STATE_JOINING
+	}
+	return state
+}
+
 // loads returns the loads of all zones that this host holds slots of.
 func (h *Host) loads() []*messenger.Load {
 	var loads []*messenger.Load
@@ -51,6 +60,7 @@
 		return
 	}
 	h.holdings.assign(inv, now)
+	h.joined.Store(h.joined.Load() || h.holdings.ready() && h.limiter.Snapshot().Usable)
 	for _, m := range h.detector.Members(now) {
 		h.acknowledge(m)
 	}
--- a/assembler/events.go
+++ b/assembler/events.go
@@ -28,9 +28,9 @@
 	eventAssigned = logger.Define(1110, log.InfoLevel, "slots assigned",
 		"The hosts that hold the slots of a zone's targets have changed, by the rule that the line names.",
 		"Look at the zone's hosts when the rule is not \"own hosts\".")
-	eventFreshness = logger.Define(1500, log.WarnLevel, "freshness of keys changed",
-		"The standing rule has come to another verdict on whether keys may have been withdrawn unseen.",
-		"When keyed routes are refused, restore the way to the platform or to peers that reach it.")
+	eventListFailed = logger.Define(1630, log.WarnLevel, "list of hosts not read",
+		"The platform did not answer with its list of hosts; the last list stays.",
+		"Check the platform if it persists.")
 	eventAdopted = logger.Define(1804, log.InfoLevel, "operations adopted",
 		"This host answers for the operations of a host that left.",
 		"Nothing.")
--- a/assembler/freshness.go
+++ b/assembler/freshness.go
@@ -47,9 +47,8 @@
 	g.at = now
 	g.decision = g.policy.Decide(g.evidence(now))
 	if before != g.decision.Freshness {
-		g.host.log.Log(eventFreshness,
+		g.host.log.Log(freshnessEvent(g.decision.Freshness),
 			logger.F("before", string(before)),
-			logger.F("freshness", string(g.decision.Freshness)),
 			logger.F("keyed", g.decision.Keyed),
 			logger.F("reason", g.decision.Reason),
 		)
@@ -57,6 +56,17 @@
 	return g.decision
 }
 
+func freshnessEvent(f authenticator.Freshness) logger.Event {
+	switch f {
+	case authenticator.Fresh:
+		return authenticator.EventFresh
+	case authenticator.Outage:
+		return authenticator.EventOutage
+	default:
+		return authenticator.EventCutOff
+	}
+}
+
 func (g *keyGuard) evidence(now timer.Instant) authenticator.Evidence {
 	c := g.host.enforcer.Configuration()
 	e := authenticator.Evidence{
--- a/assembler/holdings.go
+++ b/assembler/holdings.go
@@ -50,6 +50,19 @@
 	}
 }
 
+// ready reports whether this host uses the slots that it is to hold.
+func (h *holdings) ready() bool {
+	if len(h.wanted) == 0 {
+		return false
+	}
+	for _, w := range h.wanted {
+		if slices.Contains(w.holders, h.host) && !w.taken {
+			return false
+		}
+	}
+	return true
+}
+
 // release gives up all slots for new work, because others may have taken them meanwhile.
 func (h *holdings) release(now timer.Instant) {
 	for zone := range h.wanted {
@@ -106,7 +119,7 @@
 
 func heard(m detector.MemberView) bool {
 	switch m.State {
-	case detector.StateLive, detector.StateLeaving, detector.StateLeft:
+	case detector.StateLive, detector.StateJoining, detector.StateLeaving, detector.StateLeft:
 		return true
 	default:
 		return false
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -25,7 +25,6 @@
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/negotiator"
 	"github.com/fescuethread/fescuethread/prober"
-	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/reporter"
 	"github.com/fescuethread/fescuethread/scheduler"
 	"github.com/fescuethread/fescuethread/server"
@@ -60,6 +59,7 @@
 	cancel      context.CancelFunc
 	phase       atomic.Int32
 	state       atomic.Int32
+	joined      atomic.Bool
 
 	callers   *server.Server
 	admin     *server.Server
@@ -78,6 +78,7 @@
 	client    *exchanger.Client
 	forwarder *forwarder.Forwarder
 	enforcer  *enforcer.Enforcer
+	store     *storer.Client
 	shelf     *watcher.Shelf
 	reader    *watcher.Reader
 	puller    *watcher.Puller
@@ -218,7 +219,7 @@
 }
 
 func (h *Host) buildConfiguration(context.Context) error {
-	h.enforcer = enforcer.New(h, h.log)
+	h.enforcer = enforcer.New(h, h.settings.Callers.Lifetime.Std(), h.log)
 	h.peers = &peers{pool: h.pool, enforcer: h.enforcer}
 	h.buildDistribution()
 	return nil
@@ -311,7 +312,6 @@
 			return h.peerSide.Serve(ctx, &peerHandler{host: h})
 		})},
 		{"configuration", serviceFunc(h.runConfiguration)},
-		{"reader", serviceFunc(h.reader.Run)},
 		{"gossip", h.gossiper},
 		{"loans", negotiator.New(h.limiter, h.peers, loans, h.settings.Peers.Timeout.Std())},
 		{"probes", prober.New(h.forwarder, h, h.granter, probes)},
--- a/assembler/members.go
+++ b/assembler/members.go
@@ -22,7 +22,8 @@
 		return locator.Live
 	case detector.StateLeaving, detector.StateLeft:
 		return locator.Leaving
-	case detector.StateDead:
+	case detector.StateDead, detector.StateJoining:
+		// A joining host is listed only for want of others, like a dead one.
 		return locator.Dead
 	default:
 		return locator.Unknown
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -63,13 +63,15 @@
 
 // Fetch asks a host, or a seed address, for a document at or above a version.
 func (p *peers) Fetch(
-	ctx context.Context, host, name string, version uint64,
+	ctx context.Context, host string, least watcher.Version,
 ) (watcher.Document, error) {
 	address, err := p.address(host)
 	if err != nil {
 		address = host
 	}
-	d, err := p.pool.Fetch(ctx, address, &messenger.DocumentQuery{Name: name, Version: version})
+	d, err := p.pool.Fetch(ctx, address, &messenger.DocumentQuery{
+		Name: least.Name, Version: least.Version,
+	})
 	if err != nil {
 		return watcher.Document{}, err
 	}
--- a/authenticator/events.go
+++ b/authenticator/events.go
@@ -7,9 +7,6 @@
 )
 
 var (
-	// EventKeys reports a new version of the key document.
-	EventKeys = logger.Define(1500, log.InfoLevel, "keys in force",
-		"A version of the key document is in force on this host.", "None.")
 	// EventRefused reports a key that was refused.
 	EventRefused = logger.Define(1501, log.InfoLevel, "key refused",
 		"A request was refused because of its key.",
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -20,8 +20,6 @@
 	Incarnation uint64
 	// Timeout is the deadline of a request that states none.
 	Timeout time.Duration
-	// Lifetime is the time for which clients may cache a look-up answer.
-	Lifetime time.Duration
 }
 
 // Parts are the services that a carrier works with.
@@ -58,6 +56,8 @@
 	parts Parts
 	count atomic.Uint64
 	stats stats
+	// waiting counts requests that wait for their customer's rate.
+	waiting atomic.Int64
 	// inFlight counts requests and operations.
 	inFlight atomic.Int64
 }
--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/fescuethread/fescuethread/authenticator"
 	"github.com/fescuethread/fescuethread/forwarder"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/registrar"
@@ -68,7 +69,7 @@
 	if !w.Idempotent {
 		return c.operate(ctx, w)
 	}
-	if refused, ok := c.admit(w); !ok {
+	if refused, ok := c.admit(ctx, w); !ok {
 		return refused
 	}
 	return c.run(ctx, w)
@@ -134,6 +135,8 @@
 	}
 	grant, err := s.Ring.Verify(key)
 	if err != nil {
+		c.parts.Log.Log(authenticator.EventRefused,
+			logger.F("request", w.ID), logger.F("cause", err.Error()))
 		return w, notRun(http.StatusUnauthorized, ReasonKey), false
 	}
 	customer, ok := s.Inventory.Customer(grant.Customer)
@@ -158,23 +161,6 @@
 	return w, Result{}, true
 }
 
-// admit takes the request out of its customer's rate; the result counts when it reports false.
-func (c *Carrier) admit(w Work) (Result, bool) {
-	if w.Customer == "" {
-		return Result{}, true
-	}
-	d := c.parts.Limiter.Admit(AccountOf(w.Customer), 1)
-	if d.Admitted {
-		return Result{}, true
-	}
-	return notRun(http.StatusTooManyRequests, ReasonLimit).WithRetry(d.Retry), false
-}
-
-// AccountOf names the limiter's account of a customer.
-func AccountOf(customer string) string {
-	return "customer/" + customer
-}
-
 // timeout returns how long the caller waits, bounded by the service.
 func (c *Carrier) timeout(r *http.Request, service registrar.Service) (time.Duration, bool) {
 	longest := c.cfg.Timeout
--- a/carrier/operation.go
+++ b/carrier/operation.go
@@ -63,7 +63,7 @@
 }
 
 func (c *Carrier) admitAndRun(ctx context.Context, w Work) Result {
-	if refused, ok := c.admit(w); !ok {
+	if refused, ok := c.admit(ctx, w); !ok {
 		return refused
 	}
 	return c.run(ctx, w)
--- a/commander/root.go
+++ b/commander/root.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 
+	"github.com/lesismal/nbio/logging"
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 )
@@ -48,6 +49,8 @@
 
 // Run runs the command that args name and returns the program's exit code.
 func Run(ctx context.Context, env Environment, args []string) int {
+	// The library writes to standard output, which belongs to results.
+	logging.SetLevel(logging.LevelNone)
 	opts := &options{}
 	root := newRoot(env, opts)
 	root.SetArgs(args)
--- a/detector/judge.go
+++ b/detector/judge.go
@@ -17,6 +17,8 @@
 	StateLive
 	// StateSuspect is a host whose heartbeats are late.
 	StateSuspect
+	// StateJoining is a host that has started and holds no shares or slots yet.
+	StateJoining
 	// StateLeaving is a host that is stopping and takes no new work.
 	StateLeaving
 	// StateLeft is a host that stopped as planned.
@@ -29,6 +31,7 @@
 	StateUnknown: "unknown",
 	StateLive:    "live",
 	StateSuspect: "suspect",
+	StateJoining: "joining",
 	StateLeaving: "leaving",
 	StateLeft:    "left",
 	StateDead:    "dead",
@@ -148,8 +151,11 @@
 }
 
 func present(e *entry, reason string) (State, string) {
-	if e.member.State == messenger.State_STATE_LEAVING {
+	switch e.member.State {
+	case messenger.State_STATE_LEAVING:
 		return StateLeaving, reasonSays
+	case messenger.State_STATE_JOINING:
+		return StateJoining, reasonSays
 	}
 	if e.listed(ListedLeaving) {
 		return StateLeaving, reasonLeaving
--- a/detector/view.go
+++ b/detector/view.go
@@ -110,6 +110,8 @@
 
 func (t *Table) ownState() State {
 	switch t.self.State {
+	case messenger.State_STATE_JOINING:
+		return StateJoining
 	case messenger.State_STATE_LEAVING:
 		return StateLeaving
 	case messenger.State_STATE_LEFT:
@@ -280,7 +282,12 @@
 }
 
 func heard(s State) bool {
-	return s == StateLive || s == StateSuspect || s == StateLeaving
+	switch s {
+	case StateLive, StateSuspect, StateJoining, StateLeaving:
+		return true
+	default:
+		return false
+	}
 }
 
 // Reachable returns how much of each other zone and of each region can be heard.
--- a/detector/zone.go
+++ b/detector/zone.go
@@ -110,7 +110,7 @@
 	sum := newSum(m.Loads)
 	for _, e := range t.mates() {
 		state, _ := t.judge(now, e)
-		if state != StateLive && state != StateLeaving {
+		if state != StateLive && state != StateJoining && state != StateLeaving {
 			continue
 		}
 		sum.add(e.member.Loads)
@@ -204,7 +204,7 @@
 	z.rotation++
 	next := mates[z.rotation%len(mates)]
 	state, _ := t.judge(now, next)
-	if state == StateLive || state == StateLeaving {
+	if state == StateLive || state == StateJoining || state == StateLeaving {
 		out = append(out, notice(next.member))
 	}
 	return out
--- a/enforcer/enforcer.go
+++ b/enforcer/enforcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -49,6 +50,7 @@
 // Enforcer holds the configuration in force.
 type Enforcer struct {
 	follower Follower
+	lifetime time.Duration
 	log      *logger.Logger
 
 	mu       sync.Mutex
@@ -57,24 +59,42 @@
 	table    *locator.Table
 }
 
-// New returns an enforcer without a configuration.
-func New(f Follower, l *logger.Logger) *Enforcer {
-	return &Enforcer{follower: f, log: l}
+// New returns an enforcer without a configuration; lifetime is that of look-up answers.
+func New(f Follower, lifetime time.Duration, l *logger.Logger) *Enforcer {
+	return &Enforcer{follower: f, lifetime: lifetime, log: l}
 }
 
+// Checker refuses documents that could not be put in force.
+type Checker struct{}
+
 // Check refuses a document that could not be put in force.
-func Check(d watcher.Document) error {
+func (Checker) Check(d watcher.Document) error {
 	_, err := Configuration{}.with(d)
 	return err
 }
 
-// Run puts documents in force until ctx ends.
-func (e *Enforcer) Run(ctx context.Context, documents <-chan watcher.Document) error {
+// Subscriber gives the versions of a document that were accepted.
+type Subscriber interface {
+	Subscribe(name string) *watcher.Subscription
+}
+
+// Run puts accepted documents in force until ctx ends.
+func (e *Enforcer) Run(ctx context.Context, s Subscriber) error {
+	inventory := s.Subscribe(DocumentInventory)
+	defer inventory.Close()
+	keys := s.Subscribe(DocumentKeys)
+	defer keys.Close()
+	drains := s.Subscribe(drainer.Document)
+	defer drains.Close()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case d := <-documents:
+		case d := <-inventory.C():
+			e.enforce(d)
+		case d := <-keys.C():
+			e.enforce(d)
+		case d := <-drains.C():
 			e.enforce(d)
 		}
 	}
@@ -102,7 +122,7 @@
 	defer e.mu.Unlock()
 	e.current = next
 	if d.Name == DocumentInventory {
-		e.table = locator.New(next.Inventory)
+		e.table = locator.New(next.Inventory).WithLifetime(e.lifetime)
 	}
 	e.snapshot = toSnapshot(next, e.table)
 	return nil
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -217,6 +217,8 @@
 const (
 	// shedStatus is the HTTP status with which a target sheds load.
 	shedStatus = 503
+	// failedStatus is the lowest HTTP status with which a target tells of a failure of its own.
+	failedStatus = 500
 	// patience is the time from which a deadline that passes counts against the target; a shorter
 	// deadline says nothing, or a caller in a hurry could have targets ejected.
 	patience = time.Second
@@ -230,7 +232,7 @@
 		return scheduler.ResultCancelled
 	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED && r.Status == shedStatus:
 		return scheduler.ResultShed
-	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED:
+	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED && r.Status < failedStatus:
 		return scheduler.ResultOK
 	default:
 		return scheduler.ResultFailed
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -111,7 +111,7 @@
 func (p *process) tail() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	const most = 40
+	const most = 6
 	return strings.Join(p.lines[max(0, len(p.lines)-most):], "\n")
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 )
@@ -48,7 +47,6 @@
 
 // Run accepts connections until ctx ends, then finishes the requests in flight and closes.
 func (s *Server) Run(ctx context.Context) error {
-	logging.SetLevel(logging.LevelNone)
 	if err := s.engine.Start(); err != nil {
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
