--- /dev/null
+++ b/watcher/reader.go
@@ -0,0 +1,136 @@
+package watcher
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/storer"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const (
+	// DocumentPrefix is the prefix of the documents' names.
+	DocumentPrefix = "config/"
+
+	electionPeriod = time.Second
+)
+
+// Platform is the part of the platform's API that the reader calls.
+type Platform interface {
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (
+		storer.Listing, error)
+}
+
+// Elector tells whether this host is one of the readers of its availability zone.
+type Elector interface {
+	Elected() bool
+}
+
+// ReaderConfig holds a reader's parts.
+type ReaderConfig struct {
+	// Platform is watched for documents.
+	Platform Platform
+	// Elector decides whether this host watches.
+	Elector Elector
+	// Shelf is offered the documents.
+	Shelf *Shelf
+	// Wait is how long a watch waits; the age of the contact stays below about twice of it.
+	Wait time.Duration
+	// Backoff spaces the retries of failed watches.
+	Backoff *retrier.Backoff
+	// Pauser waits for the next look at the election.
+	Pauser retrier.Pauser
+	// Now reads the clock that Contact is told on.
+	Now func() timer.Instant
+	// Log receives the reader's events.
+	Log *logger.Logger
+}
+
+// Reader takes documents from the platform while this host is elected to.
+type Reader struct {
+	cfg      ReaderConfig
+	revision uint64
+	elected  bool
+	failing  bool
+	// contact is the instant of the newest contact plus one; 0 stands for none.
+	contact atomic.Int64
+}
+
+// NewReader returns a reader that has had no contact with the platform.
+func NewReader(cfg ReaderConfig) *Reader {
+	return &Reader{cfg: cfg}
+}
+
+// Contact returns the instant at which the newest answered watch was sent: the shelf was offered
+// every document that the platform had accepted by then.
+func (r *Reader) Contact() (timer.Instant, bool) {
+	c := r.contact.Load()
+	return timer.Instant(c - 1), c > 0
+}
+
+// Run watches the platform until ctx ends.
+func (r *Reader) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		r.elect()
+		if err := r.step(ctx); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (r *Reader) elect() {
+	elected := r.cfg.Elector.Elected()
+	if elected == r.elected {
+		return
+	}
+	r.elected = elected
+	if elected {
+		r.cfg.Log.Log(eventElected)
+	} else {
+		r.cfg.Log.Log(eventReleased)
+	}
+}
+
+// step makes one watch, or waits for the next; it returns an error only once ctx has ended.
+func (r *Reader) step(ctx context.Context) error {
+	if !r.elected {
+		return r.cfg.Pauser.Pause(ctx, electionPeriod)
+	}
+	sent := r.cfg.Now()
+	l, err := r.cfg.Platform.Watch(ctx, DocumentPrefix, r.revision, r.cfg.Wait)
+	if err != nil {
+		r.fail(ctx, err)
+		return r.cfg.Backoff.Wait(ctx)
+	}
+	r.succeed()
+	r.take(l)
+	r.contact.Store(int64(sent) + 1)
+	return nil
+}
+
+func (r *Reader) fail(ctx context.Context, err error) {
+	if !r.failing && ctx.Err() == nil {
+		r.cfg.Log.Log(eventCutOff, logger.F("cause", err.Error()))
+	}
+	r.failing = true
+}
+
+func (r *Reader) succeed() {
+	if r.failing {
+		r.cfg.Log.Log(eventReached)
+	}
+	r.failing = false
+	r.cfg.Backoff.Reset()
+}
+
+func (r *Reader) take(l storer.Listing) {
+	for _, o := range l.Objects {
+		// The shelf logs a refusal; the revision moves on, so that it isn't fetched again.
+		_, _ = r.cfg.Shelf.Offer(Document(o))
+	}
+	r.revision = l.Revision
+}
