scheduler: let suspects run alone on a reserved target

Cause: a suspect must be the only request on its target, and targets are seldom idle. Ruled out: waiting for an idle target, which under load never comes; blocking the fair queue behind the suspect. Change: work that asks to be alone waits in a short queue of its own; one target is reserved for it, takes nothing else and is handed over when it is idle. Before: no way to run alone. In a zone with one target the service pauses for the suspect's run.

--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -24,6 +24,9 @@
 	// CostUnit is the cost of an ordinary request.
 	CostUnit = 1000
 
+	// maxAlone bounds the work of a service that waits to run alone.
+	maxAlone = 8
+
 	// floorPercent is the part of a service's targets that must pass their health rule; below
 	// it the measurement is doubted.
 	floorPercent = 50
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -23,6 +23,7 @@
 	targets []*target
 	shares  shares
 	queue   *fairQueue
+	alone   aloneQueue
 	took    time.Duration
 	choose  chooser
 }
@@ -37,6 +38,10 @@
 		t.refuse(ReasonNoTarget)
 		return
 	}
+	if t.work.Alone {
+		p.enqueueAlone(now, t)
+		return
+	}
 	if p.queue.size == 0 && p.start(now, t) {
 		return
 	}
@@ -103,6 +108,7 @@
 
 // dispatch gives free slots to the queue.
 func (p *pool) dispatch(now timer.Instant) {
+	p.startAlone(now)
 	for p.queue.size > 0 {
 		head := p.queue.head()
 		if !head.work.meets(now.Add(p.estimate(0, 1))) {
@@ -158,6 +164,7 @@
 }
 
 func (p *pool) refuseAll(r Reason) {
+	p.alone.refuseAll(r)
 	for p.queue.size > 0 {
 		head := p.queue.head()
 		p.queue.serve(head)
@@ -216,6 +223,9 @@
 	for _, t := range p.targets {
 		capacity := t.capacity(now, s.part(t.Target), doubted)
 		c := candidate{target: t, capacity: capacity, latency: p.latency(now, t)}
+		if t == p.alone.reserved || t.exclusive {
+			continue
+		}
 		if t.busy < capacity && t.accepts(now, w, doubted) {
 			free = append(free, c)
 		}
@@ -271,7 +281,8 @@
 }
 
 func (p *pool) load(now timer.Instant) Load {
-	l := Load{Service: p.service, Queued: p.queue.size, Ready: p.capacity(now), Took: p.took}
+	l := Load{Service: p.service, Ready: p.capacity(now), Took: p.took}
+	l.Queued = p.queue.size + len(p.alone.tickets)
 	s := p.shares.at(now)
 	for _, t := range p.targets {
 		l.Busy += t.busy
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -132,8 +132,7 @@
 	defer s.mu.Unlock()
 	switch t.state {
 	case ticketQueued:
-		t.pool.queue.remove(t)
-		t.refuse(ReasonCancelled)
+		t.pool.cancel(t)
 	case ticketGranted:
 		t.pool.done(now, t, ResultCancelled)
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -269,3 +269,35 @@
 		}
 	}
 }
+
+func TestWorkRunsAlone(t *testing.T) {
+	s := warm(newScheduler(Config{}, 2, 2))
+	var busy []*Ticket
+	for range 3 {
+		busy = append(busy, s.Enqueue(0, work("a")))
+	}
+	suspect := work("a")
+	suspect.Alone = true
+	first, second := s.Enqueue(0, suspect), s.Enqueue(0, suspect)
+	free := s.Enqueue(0, work("a"))
+	want(t, first, "")
+	want(t, free, "")
+	reserved := s.pools["s"].alone.reserved
+	for _, ticket := range busy {
+		if ticket.target == reserved {
+			s.Done(1, ticket, ResultOK)
+		}
+	}
+	want(t, first, ReasonGranted)
+	want(t, free, "")
+	if reserved.busy != 1 || !reserved.exclusive {
+		t.Fatalf("%d requests on the reserved target", reserved.busy)
+	}
+	want(t, second, "")
+	s.Cancel(1, second)
+	s.Done(1, first, ResultOK)
+	want(t, free, ReasonGranted)
+	if reserved.exclusive || s.pools["s"].alone.reserved != nil {
+		t.Fatal("the target is still reserved")
+	}
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -58,9 +58,11 @@
 	probedBy timer.Instant
 	own      timer.Instant
 	latency  time.Duration
-	draining bool
-	removed  bool
-	report   *Report
+	// exclusive says that work runs on the target that has to be alone.
+	exclusive bool
+	draining  bool
+	removed   bool
+	report    *Report
 }
 
 func newTarget(t Target, cfg *Config, now timer.Instant) *target {
@@ -124,6 +126,7 @@
 
 func (t *target) finish(now timer.Instant, took time.Duration, r Result) {
 	t.busy--
+	t.exclusive = false
 	switch r {
 	case ResultOK:
 		t.succeed(now, took)
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -16,6 +16,8 @@
 	Cost int64
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
+	// Alone says that nothing else may run on the target meanwhile.
+	Alone bool
 	// Avoid names a target that an earlier try failed on; it is used only for want of another.
 	Avoid string
 }
@@ -112,5 +114,6 @@
 	t.target = g
 	t.granted = now
 	g.take(now)
+	g.exclusive = t.work.Alone
 	t.c <- Decision{Reason: ReasonGranted, Target: g.Target}
 }
