scheduler: try charging customers by their run time

Cause: with one cost a request, a customer whose requests run 3 times as long takes 3 times the slot time of the others.

--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -1,9 +1,10 @@
 package scheduler
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,28 +22,8 @@
 )
 
 type event struct {
-	at  timer.Instant
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any) {
-	next, _ := x.(event)
-	*e = append(*e, next)
-}
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
+	at timer.Instant
+	do func()
 }
 
 // scenario is one run in virtual time: eight customers of equal rate, the first at several
@@ -51,6 +32,8 @@
 	slots    int
 	load     float64 // sum of the customers' rates as a part of the capacity
 	greed    float64 // the first customer's arrivals as a multiple of its rate
+	heavy    float64 // run time factor of the first customer
+	counted  bool    // each request costs its customer the same
 	fifo     bool    // all customers share one flow
 	blind    bool    // the scheduler isn't told deadlines
 	slow     float64 // run time factor of the first target
@@ -70,8 +53,7 @@
 	scenario
 	now     timer.Instant
 	rng     *rand.Rand
-	queue   events
-	seq     int
+	queue   []event // in the order of their instants
 	sched   *Scheduler
 	waiting []waiting
 	runs    map[string]int
@@ -111,8 +93,9 @@
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{at: s.now.Add(d), seq: s.seq, do: do})
+	e := event{at: s.now.Add(d), do: do}
+	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	s.queue = slices.Insert(s.queue, i, e)
 }
 
 func (s *simulation) run() {
@@ -121,7 +104,8 @@
 	}
 	s.tick()
 	for len(s.queue) > 0 && s.queue[0].at < timer.Instant(simulated) {
-		e, _ := heap.Pop(&s.queue).(event)
+		e := s.queue[0]
+		s.queue = s.queue[1:]
 		s.now = e.at
 		e.do()
 		s.collect()
@@ -137,8 +121,15 @@
 	return float64(simTargets*s.slots) / meanRun.Seconds()
 }
 
+func (s *simulation) weight(customer int) float64 {
+	if customer == 0 {
+		return max(s.heavy, 1)
+	}
+	return 1
+}
+
 func (s *simulation) arrive(customer int) {
-	rate := s.load * s.capacity() / 8
+	rate := s.load * s.capacity() / (7 + s.weight(0))
 	if customer == 0 {
 		rate *= s.greed
 	}
@@ -153,6 +144,9 @@
 	if s.fifo {
 		w.Customer = "all"
 	}
+	if s.counted {
+		w.Cost = 1
+	}
 	if !s.blind {
 		w.Deadline = s.now.Add(simDeadline)
 	}
@@ -181,15 +175,15 @@
 		return
 	}
 	s.busy[d.Target.Name]++
-	s.after(s.runTime(d.Target.Name), func() {
+	s.after(s.runTime(d.Target.Name, w.customer), func() {
 		s.busy[d.Target.Name]--
 		s.end(w)
 	})
 }
 
-func (s *simulation) runTime(target string) time.Duration {
+func (s *simulation) runTime(target string, customer int) time.Duration {
 	s.runs[target]++
-	d := float64(meanRun) * (0.5 + s.rng.Float64())
+	d := float64(meanRun) * (0.5 + s.rng.Float64()) * s.weight(customer)
 	if target == "0" && s.slow > 0 {
 		d *= s.slow
 	}
@@ -237,7 +231,7 @@
 	for c := range 8 {
 		all += s.offered[c]
 		intime += s.intime[c]
-		worst = min(worst, float64(s.intime[c])/min(part, float64(s.offered[c])))
+		worst = min(worst, float64(s.intime[c])/min(part/s.weight(c), float64(s.offered[c])))
 		if c > 0 || s.greed <= 1 {
 			offered += s.offered[c]
 			refused += s.refused[c]
@@ -301,6 +295,16 @@
 	}
 }
 
+func TestMeasureCost(t *testing.T) {
+	for _, slots := range []int{9, 3} {
+		sc := scenario{slots: slots, load: 1.25, greed: 1, heavy: 3}
+		timed := measure(sc)
+		sc.counted = true
+		t.Logf("%d slots, cost by run time: %v", slots, timed)
+		t.Logf("%d slots, cost by request:  %v", slots, measure(sc))
+	}
+}
+
 func TestMeasureChoice(t *testing.T) {
 	for _, slots := range []int{9, 3} {
 		for _, load := range []float64{0.3, 0.6} {
