scheduler: revert charging customers by their run time

Cause: the try before this one serves a customer with long requests better but starves customers whose requests met a slow target. Ruled out: keeping it for 9 slots only: the rule would depend on the deployment.

--- a/scheduler/alone.go
+++ b/scheduler/alone.go
@@ -33,7 +33,7 @@
 		t.refuse(ReasonFull)
 		return
 	}
-	if !t.work.meets(p.answeredBy(now, t, 2*len(p.alone.tickets), 1)) {
+	if !t.work.meets(now.Add(p.estimate(2*len(p.alone.tickets), 1))) {
 		t.refuse(ReasonDeadline)
 		return
 	}
@@ -61,7 +61,7 @@
 
 func (p *pool) refuseLateAlone(now timer.Instant) {
 	for _, t := range slices.Clone(p.alone.tickets) {
-		if !t.work.meets(p.answeredBy(now, t, 0, 1)) {
+		if !t.work.meets(now.Add(p.estimate(0, 1))) {
 			p.alone.remove(t)
 			t.refuse(ReasonDeadline)
 		}
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -21,9 +21,8 @@
 	DefaultProbeWait = 5 * time.Second
 	// DefaultWarmupAnswers is the number of answers that opens one more slot of a cold target.
 	DefaultWarmupAnswers = 4
-
-	// maxCustomers bounds the customers of a service whose run times are kept.
-	maxCustomers = 1024
+	// CostUnit is the cost of an ordinary request.
+	CostUnit = 1000
 
 	// maxAlone bounds the work of a service that waits to run alone.
 	maxAlone = 8
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -6,19 +6,14 @@
 	"github.com/fescuethread/fescuethread/timer"
 )
 
-const (
-	// targetWeight is the part of a new value in a target's or service's average, as a divisor.
-	targetWeight = 8
-	// customerWeight is the part of a new value in a customer's average, as a divisor; it is
-	// small because the average is what the customer is charged.
-	customerWeight = 32
-)
+// averageWeight is the part of a new value in a moving average, as a divisor.
+const averageWeight = 8
 
-func average(old, value, weight time.Duration) time.Duration {
+func average(old, value time.Duration) time.Duration {
 	if old == 0 {
 		return value
 	}
-	return old + (value-old)/weight
+	return old + (value-old)/averageWeight
 }
 
 // pool is the targets and the queue of one service.
@@ -30,18 +25,11 @@
 	queue   *fairQueue
 	alone   aloneQueue
 	took    time.Duration
-	times   map[string]time.Duration
 	choose  chooser
 }
 
 func newPool(service string, cfg *Config) *pool {
-	return &pool{
-		service: service,
-		cfg:     cfg,
-		queue:   newFairQueue(),
-		times:   map[string]time.Duration{},
-		choose:  fastest,
-	}
+	return &pool{service: service, cfg: cfg, queue: newFairQueue(), choose: fastest}
 }
 
 // enqueue grants, queues or refuses t.
@@ -61,27 +49,9 @@
 		t.refuse(reason)
 		return
 	}
-	if t.work.Cost <= 0 {
-		t.work.Cost = max(p.runTime(t.work.Customer).Microseconds(), 1)
-	}
 	p.queue.push(t)
 }
 
-// runTime is the average time that the customer's requests hold a slot.
-func (p *pool) runTime(customer string) time.Duration {
-	if d, ok := p.times[customer]; ok {
-		return d
-	}
-	return p.took
-}
-
-func (p *pool) noteRunTime(customer string, took time.Duration) {
-	if len(p.times) >= maxCustomers {
-		clear(p.times)
-	}
-	p.times[customer] = average(p.times[customer], took, customerWeight)
-}
-
 func (p *pool) refusal(now timer.Instant, t *Ticket) Reason {
 	if p.hopeless(now, t) {
 		return ReasonDeadline
@@ -98,21 +68,13 @@
 // hopeless reports whether t can't meet its deadline behind what goes before it.
 func (p *pool) hopeless(now timer.Instant, t *Ticket) bool {
 	ahead := p.queue.ahead(p.queue.nextStart(t.work.Customer))
-	return !t.work.meets(p.answeredBy(now, t, ahead+1, p.capacity(now)))
-}
-
-// answeredBy estimates when t is answered if it is served after the given number of others.
-func (p *pool) answeredBy(now timer.Instant, t *Ticket, ahead, capacity int) timer.Instant {
-	wait, run := p.wait(ahead, capacity), p.runTime(t.work.Customer)
-	if !t.work.meets(now.Add(withMargin(run))) {
-		// An average beyond the deadline would refuse all of the customer's requests, and so
-		// never be corrected.
-		run = p.took
-	}
-	return now.Add(withMargin(wait + run))
+	return !t.work.meets(now.Add(p.estimate(ahead+1, p.capacity(now))))
 }
 
-func withMargin(d time.Duration) time.Duration {
+// estimate is the time until a request is answered that is served after the given number of
+// others.
+func (p *pool) estimate(ahead, capacity int) time.Duration {
+	d := p.wait(ahead, capacity) + p.took
 	return d * (100 + marginPercent) / 100
 }
 
@@ -149,7 +111,7 @@
 	p.startAlone(now)
 	for p.queue.size > 0 {
 		head := p.queue.head()
-		if !head.work.meets(p.answeredBy(now, head, 0, 1)) {
+		if !head.work.meets(now.Add(p.estimate(0, 1))) {
 			p.queue.remove(head)
 			head.refuse(ReasonDeadline)
 			continue
@@ -192,7 +154,7 @@
 	}
 	ahead, capacity := 0, p.capacity(now)
 	for _, t := range p.queue.ordered() {
-		if !t.work.meets(p.answeredBy(now, t, ahead, capacity)) {
+		if !t.work.meets(now.Add(p.estimate(ahead, capacity))) {
 			p.queue.remove(t)
 			t.refuse(ReasonDeadline)
 			continue
@@ -214,9 +176,8 @@
 	took := now.Sub(t.granted)
 	t.state = ticketEnded
 	t.target.finish(now, took, r)
-	p.noteRunTime(t.work.Customer, took)
 	if r == ResultOK {
-		p.took = average(p.took, took, targetWeight)
+		p.took = average(p.took, took)
 	}
 	p.forget()
 	p.dispatch(now)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -301,3 +301,30 @@
 		t.Fatal("the target is still reserved")
 	}
 }
+
+func TestConcurrentUseKeepsTheCount(t *testing.T) {
+	s := warm(newScheduler(Config{}, 2, 3))
+	ended := make(chan struct{})
+	for w := range 8 {
+		go func() {
+			for n := range 200 {
+				now := timer.Instant(n)
+				ticket := s.Enqueue(now, work(fmt.Sprint(w)))
+				if n%5 == 0 {
+					s.Cancel(now, ticket)
+				}
+				if d := <-ticket.C; d.Granted() {
+					s.Done(now, ticket, ResultOK)
+				}
+				s.Loads(now)
+			}
+			ended <- struct{}{}
+		}()
+	}
+	for range 8 {
+		<-ended
+	}
+	if l := s.Loads(1000)[0]; l.Busy != 0 || l.Queued != 0 {
+		t.Fatalf("load %+v", l)
+	}
+}
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -141,7 +141,7 @@
 	t.own = now
 	t.failures = 0
 	t.ejected = 0
-	t.latency = average(t.latency, took, targetWeight)
+	t.latency = average(t.latency, took)
 	t.answers++
 	if t.answers >= t.cfg.WarmupAnswers {
 		t.answers = 0
--- a/scheduler/work.go
+++ b/scheduler/work.go
@@ -12,8 +12,7 @@
 	Service string
 	// Deadline is the instant after which an answer is worthless; zero stands for none.
 	Deadline timer.Instant
-	// Cost is the slot time that the request takes of its customer's part, in microseconds; zero
-	// stands for the average of the customer's requests.
+	// Cost is what the request takes of its customer's part; zero stands for CostUnit.
 	Cost int64
 	// Idempotent says that the request may run more than once.
 	Idempotent bool
@@ -93,6 +92,9 @@
 )
 
 func newTicket(w Work, p *pool, seq uint64) *Ticket {
+	if w.Cost <= 0 {
+		w.Cost = CostUnit
+	}
 	c := make(chan Decision, 1)
 	return &Ticket{C: c, c: c, work: w, pool: p, seq: seq}
 }
