exchanger: tell lost connections and refused ones apart

Cause: the isolator needs to know which failures may be a target's crash. Ruled out: comparing the sentinel errors at each caller. Change: Lost and Refused; the test of a late answer uses a deadline that the server's side triggers, in place of 20 ms of wall time, which a busy machine could spend on the dial; the check is as strict. Before: one error for the caller to take apart.

--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -193,7 +193,7 @@
 	}
 	_ = s.ln.Close()
 	_, err = e.Exchange(t.Context(), s.address(), get("id-1"))
-	if !NotRun(err) {
+	if !NotRun(err) || !Refused(err) || Lost(err) {
 		t.Fatalf("dial to a closed port: %v", err)
 	}
 }
@@ -222,11 +222,32 @@
 	}
 }
 
+// lateContext is a context whose deadline passes when its channel is closed.
+type lateContext struct {
+	context.Context
+	late chan struct{}
+}
+
+func (c lateContext) Done() <-chan struct{} { return c.late }
+
+func (c lateContext) Err() error {
+	select {
+	case <-c.late:
+		return context.DeadlineExceeded
+	default:
+		return nil
+	}
+}
+
 func TestDeadlineEndsASlowExchange(t *testing.T) {
 	e := newExchanger(t)
-	s := startServer(t, answerOnce("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", false))
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancel()
+	ctx := lateContext{Context: t.Context(), late: make(chan struct{})}
+	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel")
+		close(ctx.late)
+		_, _ = r.ReadByte()
+	})
 	_, err := e.Exchange(ctx, s.address(), get("id-1"))
 	wantError(t, err, KindUnknown, context.DeadlineExceeded)
 }
@@ -344,6 +365,9 @@
 	}
 	_, err := p.Exchange(t.Context(), get("id-2"))
 	wantError(t, err, KindUnknown, ErrStale)
+	if !Lost(err) {
+		t.Fatal("a stale connection doesn't count as lost")
+	}
 	if _, err := p.ExchangeFresh(t.Context(), get("id-3")); err != nil {
 		t.Fatal(err)
 	}
