--- a/assembler/distribution.go
+++ b/assembler/distribution.go
@@ -12,7 +12,7 @@
 	"github.com/fescuethread/fescuethread/enforcer"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/storer"
 	"github.com/fescuethread/fescuethread/timer"
 	"github.com/fescuethread/fescuethread/watcher"
@@ -42,8 +42,8 @@
 		Elector:  h,
 		Shelf:    h.shelf,
 		Wait:     s.Platform.Watch.Std(),
-		Backoff:  retrier.New(firstBackoff, longestBackoff, random(), retrier.Clock{}),
-		Pauser:   retrier.Clock{},
+		Backoff:  pacer.New(firstBackoff, longestBackoff, random(), pacer.Clock{}),
+		Pauser:   pacer.Clock{},
 		Now:      timer.Now,
 		Log:      h.log,
 	})
--- a/retrier/backoff.go
+++ b/pacer/backoff.go
@@ -1,4 +1,4 @@
-package retrier
+package pacer
 
 import (
 	"context"
--- /dev/null
+++ b/pacer/doc.go
@@ -0,0 +1,2 @@
+// Package pacer spaces out retries: exponential backoff with full jitter.
+package pacer
--- a/scheduler/simulation_test.go
+++ b/scheduler/simulation_test.go
@@ -1,9 +1,10 @@
 package scheduler
 
 import (
-	"container/heap"
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,28 +22,8 @@
 )
 
 type event struct {
-	at  timer.Instant
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any) {
-	next, _ := x.(event)
-	*e = append(*e, next)
-}
-
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
+	at timer.Instant
+	do func()
 }
 
 // scenario is one run in virtual time: eight customers of equal rate, the first at several
@@ -70,8 +51,7 @@
 	scenario
 	now     timer.Instant
 	rng     *rand.Rand
-	queue   events
-	seq     int
+	queue   []event // in the order of their instants
 	sched   *Scheduler
 	waiting []waiting
 	runs    map[string]int
@@ -111,8 +91,9 @@
 }
 
 func (s *simulation) after(d time.Duration, do func()) {
-	s.seq++
-	heap.Push(&s.queue, event{at: s.now.Add(d), seq: s.seq, do: do})
+	e := event{at: s.now.Add(d), do: do}
+	i, _ := slices.BinarySearchFunc(s.queue, e, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	s.queue = slices.Insert(s.queue, i, e)
 }
 
 func (s *simulation) run() {
@@ -121,7 +102,8 @@
 	}
 	s.tick()
 	for len(s.queue) > 0 && s.queue[0].at < timer.Instant(simulated) {
-		e, _ := heap.Pop(&s.queue).(event)
+		e := s.queue[0]
+		s.queue = s.queue[1:]
 		s.now = e.at
 		e.do()
 		s.collect()
--- a/storer/client.go
+++ b/storer/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 )
 
 const (
@@ -33,7 +33,7 @@
 	doer    Doer
 	timeout time.Duration
 	seed    int64
-	pauser  retrier.Pauser
+	pauser  pacer.Pauser
 }
 
 // New returns a client of the API at a base URL; timeout bounds each call.
@@ -43,12 +43,12 @@
 		doer:    doer,
 		timeout: timeout,
 		seed:    rand.Int63(),
-		pauser:  retrier.Clock{},
+		pauser:  pacer.Clock{},
 	}
 }
 
 // WithRetry returns a client whose retries draw their jitter from seed and wait with p.
-func (c *Client) WithRetry(seed int64, p retrier.Pauser) *Client {
+func (c *Client) WithRetry(seed int64, p pacer.Pauser) *Client {
 	n := *c
 	n.seed = seed
 	n.pauser = p
--- a/storer/resolver.go
+++ b/storer/resolver.go
@@ -6,7 +6,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 )
 
 // Write is a conditional write of an object.
@@ -30,7 +30,7 @@
 	r := resolver{
 		client:  c,
 		write:   w,
-		backoff: retrier.New(firstRetryDelay, longestRetryDelay, c.newRand(w), c.pauser),
+		backoff: pacer.New(firstRetryDelay, longestRetryDelay, c.newRand(w), c.pauser),
 	}
 	return r.run(ctx)
 }
@@ -46,7 +46,7 @@
 type resolver struct {
 	client  *Client
 	write   Write
-	backoff *retrier.Backoff
+	backoff *pacer.Backoff
 	// lost is set once a write was sent whose answer wasn't received.
 	lost bool
 	// refused is set while the last write met a conflict.
--- a/watcher/reader.go
+++ b/watcher/reader.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/fescuethread/fescuethread/logger"
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/storer"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -40,9 +40,9 @@
 	// Wait is how long a watch waits; the age of the contact stays below about twice of it.
 	Wait time.Duration
 	// Backoff spaces the retries of failed watches.
-	Backoff *retrier.Backoff
+	Backoff *pacer.Backoff
 	// Pauser waits for the next look at the election.
-	Pauser retrier.Pauser
+	Pauser pacer.Pauser
 	// Now reads the clock that Contact is told on.
 	Now func() timer.Instant
 	// Log receives the reader's events.
--- a/watcher/reader_test.go
+++ b/watcher/reader_test.go
@@ -12,7 +12,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/fescuethread/fescuethread/logger"
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/standin/platformer"
 	"github.com/fescuethread/fescuethread/storer"
 	"github.com/fescuethread/fescuethread/timer"
@@ -69,7 +69,7 @@
 		Platform: r.client,
 		Elector:  r.elect,
 		Shelf:    s,
-		Backoff:  retrier.New(time.Second, 8*time.Second, rand.New(rand.NewSource(1)), r.pauses),
+		Backoff:  pacer.New(time.Second, 8*time.Second, rand.New(rand.NewSource(1)), r.pauses),
 		Pauser:   r.pauses,
 		Now:      func() timer.Instant { r.clock++; return r.clock },
 		Log:      logger.New(io.Discard, logger.FormatJSON, log.InfoLevel),
