locator: score only a zone's best hosts

Ruled out: caching answers by client, which would need the view's version as a key. Change: a zone's usable hosts are drawn in one pass that keeps its best three; only these are scored and sorted. BenchmarkFleet measures parsing, building and answering at three sizes.

--- a/locator/answer.go
+++ b/locator/answer.go
@@ -76,10 +76,16 @@
 	Doubted bool
 }
 
+// draw is a host with a client's number for it; the highest number wins.
+type draw struct {
+	host  *host
+	value uint64
+}
+
 // candidate is a usable host with its score for one client.
 type candidate struct {
 	zone   uint16
-	host   host
+	host   *host
 	weight int
 	score  float64
 }
@@ -158,17 +164,15 @@
 
 func (s *selector) choose(groups []group, accept func(string) bool) []Choice {
 	var choices []Choice
-	perZone := make(map[uint16]int)
 	perRegion := make(map[string]int)
 	rank := 0
 	for _, g := range groups {
 		before := len(choices)
 		for _, c := range s.candidates(g, accept) {
 			region := s.table.zones[c.zone].region
-			if perZone[c.zone] == maxPerZone || perRegion[region] == maxPerRegion {
+			if perRegion[region] == maxPerRegion {
 				continue
 			}
-			perZone[c.zone]++
 			perRegion[region]++
 			choices = append(choices, c.choice(rank))
 			if len(choices) == maxHosts {
@@ -182,15 +186,15 @@
 	return choices
 }
 
-// candidates orders a group's usable hosts by weighted rendezvous hashing.
+// candidates orders the best hosts of a group's zones by weighted rendezvous hashing.
 func (s *selector) candidates(g group, accept func(string) bool) []candidate {
 	var found []candidate
 	for _, z := range g {
-		usable := s.usable(z, accept)
-		for _, h := range usable {
-			weight := max(1, s.orders.slots[z]/len(usable))
-			score := float64(weight) / -math.Log(uniform(s.key^h.hash))
-			found = append(found, candidate{zone: z, host: h, weight: weight, score: score})
+		best, usable := s.best(z, accept)
+		for _, d := range best {
+			weight := max(1, s.orders.slots[z]/usable)
+			score := float64(weight) / -math.Log(uniform(d.value))
+			found = append(found, candidate{zone: z, host: d.host, weight: weight, score: score})
 		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
@@ -202,14 +206,29 @@
 	return found
 }
 
-func (s *selector) usable(z uint16, accept func(string) bool) []host {
-	var usable []host
-	for _, h := range s.table.zones[z].hosts {
-		if accept(h.name) {
-			usable = append(usable, h)
+// best draws a zone's usable hosts and returns the highest, and how many are usable.
+func (s *selector) best(z uint16, accept func(string) bool) ([]draw, int) {
+	best := make([]draw, 0, maxPerZone+1)
+	usable := 0
+	hosts := s.table.zones[z].hosts
+	for i := range hosts {
+		if !accept(hosts[i].name) {
+			continue
 		}
+		usable++
+		best = insert(best, draw{host: &hosts[i], value: mix(s.key ^ hosts[i].hash)})
+	}
+	return best, usable
+}
+
+// insert keeps the highest draws in descending order.
+func insert(best []draw, d draw) []draw {
+	i := len(best)
+	for i > 0 && best[i-1].value < d.value {
+		i--
 	}
-	return usable
+	best = slices.Insert(best, i, d)
+	return best[:min(len(best), maxPerZone)]
 }
 
 func (c candidate) choice(rank int) Choice {
@@ -244,5 +263,5 @@
 
 // uniform maps a hash to a number above 0 and below 1.
 func uniform(hash uint64) float64 {
-	return (float64(mix(hash)>>11) + 0.5) / (1 << 53)
+	return (float64(hash>>11) + 0.5) / (1 << 53)
 }
--- a/locator/answer_test.go
+++ b/locator/answer_test.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"os"
 	"reflect"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -176,6 +177,35 @@
 	}
 }
 
+func TestLargeFleet(t *testing.T) {
+	inv, err := registrar.Parse("fleet.toml", fleet(1600))
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := New(inv)
+	for i := range 500 {
+		q := Query{Service: "s1", Place: "z5", Client: netip.AddrFrom4([4]byte{9, 9, byte(i), byte(i)})}
+		a := mustAnswer(t, table, q, nil)
+		perZone, perRegion := make(map[string]int), make(map[string]int)
+		for _, c := range a.Choices {
+			h, _ := inv.Host(c.Host)
+			z, _ := inv.Zone(h.Zone)
+			perZone[z.Name]++
+			perRegion[z.Region]++
+			if perZone[z.Name] > maxPerZone || perRegion[z.Region] > maxPerRegion {
+				t.Fatalf("%v: %+v", q.Client, a.Choices)
+			}
+		}
+		if len(a.Choices) != maxHosts || perZone["z5"] != maxPerZone || len(perRegion) != 2 {
+			t.Fatalf("%v: %+v", q.Client, a.Choices)
+		}
+		lost := mustAnswer(t, table, q, states{a.Choices[0].Host: Dead})
+		if lost.Choices[0].Host != a.Choices[1].Host || lost.Choices[1].Host != a.Choices[2].Host {
+			t.Fatalf("%v: %+v after a loss, before %+v", q.Client, lost.Choices, a.Choices)
+		}
+	}
+}
+
 func FuzzParseQuery(f *testing.F) {
 	f.Add("service=saleroom&client=10.0.0.1&place=ecape-a")
 	f.Add("service=saleroom&client=::ffff:10.0.0.1")
@@ -202,13 +232,74 @@
 	})
 }
 
-func BenchmarkAnswer(b *testing.B) {
-	table := New(karoo(b))
-	q := saleroom("10.20.105.9")
-	b.ReportAllocs()
-	for range b.N {
-		if _, err := table.Answer(q, states{}); err != nil {
+// fleet writes an inventory of 27 regions and 92 zones with a number of hosts and as many targets.
+func fleet(hosts int) []byte {
+	const regions, zones = 27, 92
+	var b strings.Builder
+	for i := range regions {
+		fmt.Fprintf(&b, "[[regions]]\nname = \"r%d\"\n", i)
+		for j := range i {
+			fmt.Fprintf(&b, "[[links]]\nfrom = \"r%d\"\nto = \"r%d\"\nboth = true\n", i, j)
+			fmt.Fprintf(&b, "rate = \"4Gbit/s\"\nrtt = \"%dms\"\n", 30+(i*j)%50)
+		}
+	}
+	for i := range zones {
+		fmt.Fprintf(&b, "[[zones]]\nname = \"z%d\"\nregion = \"r%d\"\n", i, i%regions)
+	}
+	for i := range 4 {
+		fmt.Fprintf(&b, "[[services]]\nname = \"s%d\"\nslots = 9\nconnections = 40\n", i)
+	}
+	for i := range hosts {
+		ip := fmt.Sprintf("10.1.%d.%d", i/250, i%250+1)
+		fmt.Fprintf(&b, "[[hosts]]\nname = \"h%d\"\nzone = \"z%d\"\n", i, i%zones)
+		fmt.Fprintf(&b, "address = \"%s:80\"\npeer = \"%s:81\"\nadmin = \"%s:82\"\n", ip, ip, ip)
+		fmt.Fprintf(&b, "[[upstreams]]\nname = \"t%d\"\nzone = \"z%d\"\n", i, i%zones)
+		fmt.Fprintf(&b, "service = \"s%d\"\naddress = \"%s:90\"\n", i%4, ip)
+	}
+	return []byte(b.String())
+}
+
+func BenchmarkFleet(b *testing.B) {
+	for _, hosts := range []int{100, 400, 1600} {
+		text := fleet(hosts)
+		inv, err := registrar.Parse("fleet.toml", text)
+		if err != nil {
 			b.Fatal(err)
 		}
+		b.Run(fmt.Sprintf("parse/%d", hosts), func(b *testing.B) {
+			before := heapBytes()
+			kept, _ := registrar.Parse("fleet.toml", text)
+			used := heapBytes() - before
+			runtime.KeepAlive(kept)
+			b.ResetTimer()
+			for range b.N {
+				_, _ = registrar.Parse("fleet.toml", text)
+			}
+			b.ReportMetric(float64(used)/1e6, "MB")
+			b.ReportMetric(float64(len(text)), "document-bytes")
+		})
+		b.Run(fmt.Sprintf("new/%d", hosts), func(b *testing.B) {
+			before := heapBytes()
+			kept := New(inv)
+			used := heapBytes() - before
+			runtime.KeepAlive(kept)
+			b.ResetTimer()
+			for range b.N {
+				New(inv)
+			}
+			b.ReportMetric(float64(used)/1e6, "MB")
+		})
+		for _, place := range []string{"z5", "r5", ""} {
+			b.Run(fmt.Sprintf("answer/%q/%d", place, hosts), func(b *testing.B) {
+				table := New(inv)
+				q := Query{Service: "s1", Place: place, Client: netip.MustParseAddr("10.9.9.9")}
+				b.ReportAllocs()
+				for range b.N {
+					if _, err := table.Answer(q, states{}); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
 	}
 }
