--- a/assembler/events.go
+++ b/assembler/events.go
@@ -26,7 +26,7 @@
 		"No successor took the operations; callers who ask again are told that the outcome is unknown.",
 		"Nothing; look whether peers were reachable when the host left.")
 	eventAssigned = logger.Define(1110, log.InfoLevel, "slots assigned",
-		"The hosts that hold the slots of a zone's targets have changed, by the rule that the line names.",
+		"The hosts that hold a zone's slots have changed, by the rule that the line names.",
 		"Look at the zone's hosts when the rule is not \"own hosts\".")
 	eventListFailed = logger.Define(1630, log.WarnLevel, "list of hosts not read",
 		"The platform did not answer with its list of hosts; the last list stays.",
--- a/assembler/stop.go
+++ b/assembler/stop.go
@@ -27,11 +27,10 @@
 
 // stopper brings the host through the phases of a graceful stop.
 type stopper struct {
-	host    *Host
-	ticker  *timer.Subscription
-	asked   chan struct{}
-	state   drainer.Stop
-	drained bool
+	host   *Host
+	ticker *timer.Subscription
+	asked  chan struct{}
+	state  drainer.Stop
 }
 
 func newStopper(h *Host, ticker *timer.Subscription) *stopper {
--- a/assembler/verdict.go
+++ b/assembler/verdict.go
@@ -11,7 +11,8 @@
 func (h *Host) targetVerdict(s scheduler.Standing) reporter.Verdict {
 	signals := []string{fmt.Sprintf("%d failures in a row", s.Failures)}
 	if s.Report != nil {
-		signals = append(signals, fmt.Sprintf("reports ready %t, busy %d", s.Report.Ready, s.Report.Busy))
+		report := fmt.Sprintf("reports ready %t, busy %d", s.Report.Ready, s.Report.Busy)
+		signals = append(signals, report)
 	}
 	rule := "own results go before the target's report while they are fresh"
 	if s.Doubted {
--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -75,8 +75,8 @@
 	return c.run(ctx, w)
 }
 
-// truthful keeps a host that refuses an operation's request unread from claiming that the operation
-// did not run: an earlier try may be running at its owner.
+// truthful keeps a host that refuses an operation's request unread from claiming that the
+// operation did not run: an earlier try may be running at its owner.
 func (c *Carrier) truthful(r *http.Request, read bool, result Result) Result {
 	if read || r.Header.Get(HeaderOperation) == "" {
 		return result
--- a/commander/apply.go
+++ b/commander/apply.go
@@ -19,11 +19,11 @@
 	register(newApply)
 }
 
-const applyHelp = `Apply checks the inventory as a whole, compares it with the platform's, and replaces that in one
-conditional write. When another operator's change came before, nothing is written and the
-difference is shown. A change that takes away most targets of a service, a region, most hosts or
-most customers needs --confirm-removal. With --wait, apply returns once every live host reports the
-version in force.`
+const applyHelp = `Apply checks the inventory as a whole, compares it with the platform's, and
+replaces that in one conditional write. When another operator's change came before, nothing is
+written and the difference is shown. A change that takes away most targets of a service, a
+region, most hosts or most customers needs --confirm-removal. With --wait, apply returns once every
+live host reports the version in force.`
 
 // inForcePeriod is the time between two looks at the hosts' versions.
 const inForcePeriod = 200 * time.Millisecond
--- a/commander/explain.go
+++ b/commander/explain.go
@@ -45,8 +45,8 @@
 	cmd := &cobra.Command{
 		Use:   "explain",
 		Short: "Show how an entry host would route a request now, and why",
-		Long: "Explain shows the signals that an entry host has, the standing rule that decided where\n" +
-			"they disagree, and the availability zones that it would try for a request.",
+		Long: "Explain shows the signals that an entry host has, the standing rule that decided\n" +
+			"where they disagree, and the availability zones that it would try for a request.",
 		Example: "  fescuethread explain --admin 127.0.0.1:7301 --service saleroom --customer mill-a",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -15,8 +15,8 @@
 	register(newKeys)
 }
 
-const keysHelp = `Keys grants, withdraws, rotates and lists keys. The platform holds digests only; a new key is
-printed once, on standard output, and nowhere else.`
+const keysHelp = `Keys grants, withdraws, rotates and lists keys. The platform holds digests only;
+a new key is printed once, on standard output, and nowhere else.`
 
 func newKeys(env Environment, opts *options) *cobra.Command {
 	cmd := &cobra.Command{
--- a/granter/doc.go
+++ b/granter/doc.go
@@ -1,3 +1,3 @@
-// Package granter gives the carrier slots of targets: one scheduler for each availability zone that
-// this host holds slots of.
+// Package granter gives the carrier slots of targets: one scheduler for each availability zone
+// that this host holds slots of.
 package granter
--- a/negotiator/doc.go
+++ b/negotiator/doc.go
@@ -1,3 +1,3 @@
-// Package negotiator moves shares of rates between hosts: it sends the limiter's requests for loans
-// and hands the replies back.
+// Package negotiator moves shares of rates between hosts: it sends the limiter's requests for
+// loans and hands the replies back.
 package negotiator
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -144,5 +144,10 @@
 		Name:        t.Name,
 		Address:     t.Address,
 		Connections: t.Connections,
-	}, &forwarder.Request{ID: "probe-" + t.Name, Method: http.MethodGet, Path: path, Idempotent: true})
+	}, &forwarder.Request{
+		ID:         "probe-" + t.Name,
+		Method:     http.MethodGet,
+		Path:       path,
+		Idempotent: true,
+	})
 }
--- a/prover/doc.go
+++ b/prover/doc.go
@@ -1,2 +1,3 @@
-// Package prover holds the tests that run the system as separate processes and bring about failures.
+// Package prover holds the tests that run the system as separate processes and bring about
+// failures.
 package prover
--- a/scheduler/part.go
+++ b/scheduler/part.go
@@ -1,6 +1,6 @@
 package scheduler
 
-// PartOf returns how many of a target's slots belong to the holder with the index of count holders.
+// PartOf returns how many of a target's slots belong to the holder at index of count holders.
 func PartOf(target string, slots, index, count int) int {
 	return share{index: index, count: count}.part(Target{Name: target, Slots: slots})
 }
--- a/surveyor/doc.go
+++ b/surveyor/doc.go
@@ -1,3 +1,3 @@
-// Package surveyor gathers what is known of each availability zone, from fresh local state and from
-// peers' heartbeats, and has the router decide on it.
+// Package surveyor gathers what is known of each availability zone, from fresh local state and
+// from peers' heartbeats, and has the router decide on it.
 package surveyor
