carrier: contain requests that crash targets across hosts

Cause: TestPoisonRequestIsContained: a request that crashes each target felled 5 targets of 6, because each host suspected by itself and heartbeats brought suspicions a second later than the caller's next try; other requests then found no target, since a refused connection sent them to another zone instead of the zone's other target. Ruled out: no retry at all after a broken connection: an idempotent look-up would fail for each target that is restarted. Change: a request that is passed on, and its reply, carry the suspicions of both hosts; a broken connection is tried on one more target at most; a target that refuses connections is avoided and another of the zone tried; retries are paid from each customer's budget (retrier). Conclusion: two crashes in all for a caller that sends again after each failure; copies sent at once are not covered.

--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -15,6 +15,7 @@
 	t.SetState(h.heartbeatState())
 	t.SetDocuments(h.enforcer.Versions())
 	t.SetLoads(h.loads())
+	t.SetSuspects(h.suspects.Tell(now))
 	if at, ok := h.reader.Contact(); ok {
 		t.SetContact(at)
 	}
@@ -63,6 +64,7 @@
 	h.joined.Store(h.joined.Load() || h.holdings.ready() && h.limiter.Snapshot().Usable)
 	for _, m := range h.detector.Members(now) {
 		h.acknowledge(m)
+		h.suspects.Hear(now, m.Host.Name, m.Suspects)
 	}
 	h.pull(now)
 }
@@ -88,7 +90,8 @@
 			h.registry.Sweep(tick.At)
 			h.granter.Tick(tick.At)
 			h.forwarder.Sweep(tick.At)
-			h.budget.refill(tick.At)
+			h.retrier.Tick(tick.At)
+			h.isolator.Tick(tick.At)
 		}
 	}
 }
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -18,14 +19,17 @@
 	"github.com/fescuethread/fescuethread/gossiper"
 	"github.com/fescuethread/fescuethread/granter"
 	"github.com/fescuethread/fescuethread/identifier"
+	"github.com/fescuethread/fescuethread/isolator"
 	"github.com/fescuethread/fescuethread/launcher"
 	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/loader"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/negotiator"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/prober"
 	"github.com/fescuethread/fescuethread/reporter"
+	"github.com/fescuethread/fescuethread/retrier"
 	"github.com/fescuethread/fescuethread/scheduler"
 	"github.com/fescuethread/fescuethread/server"
 	"github.com/fescuethread/fescuethread/storer"
@@ -83,7 +87,9 @@
 	reader    *watcher.Reader
 	puller    *watcher.Puller
 	stopper   *stopper
-	budget    *budget
+	isolator  *isolator.Isolator
+	suspects  suspects
+	retrier   *retrier.Retrier
 	keys      *keyGuard
 }
 
@@ -227,12 +233,14 @@
 
 func (h *Host) buildCarrier(context.Context) error {
 	s := h.settings
-	h.granter = granter.New(scheduler.Config{}, timer.Now)
+	h.isolator = isolator.New()
+	h.suspects = suspects{isolator: h.isolator}
+	h.granter = granter.New(scheduler.Config{}, h.isolator, timer.Now)
 	h.holdings = newHoldings(s.Host.Name, s.Host.Zone, h.detector, h.granter, h.log)
 	h.surveyor = surveyor.New(
 		s.Host.Name, s.Host.Zone, h.enforcer, h.granter, h.detector, h.limiter,
 	)
-	h.budget = newBudget()
+	h.retrier = retrier.New(retrier.Config{Random: rand.Float64})
 	h.keys = newKeyGuard(h)
 	h.carrier = carrier.New(carrier.Config{
 		Host:        s.Host.Name,
@@ -248,7 +256,9 @@
 		Targets:       h.forwarder,
 		Peers:         h.pool,
 		Members:       &members{owner: h.owner(), registry: h.registry, detector: h.detector},
-		Budget:        h.budget,
+		Budget:        h.retrier,
+		Suspects:      h.suspects,
+		Pauser:        pacer.Clock{},
 		Registry:      h.registry,
 		Log:           h.log,
 		Now:           timer.Now,
--- a/carrier/carrier.go
+++ b/carrier/carrier.go
@@ -42,6 +42,10 @@
 	Members Members
 	// Budget bounds retries.
 	Budget Budget
+	// Suspects exchanges suspicions.
+	Suspects Suspects
+	// Pauser spaces retries out.
+	Pauser Pauser
 	// Registry owns the operations issued here.
 	Registry *identifier.Registry
 	// Log takes the decisions.
--- a/carrier/outcome.go
+++ b/carrier/outcome.go
@@ -30,12 +30,16 @@
 	ReasonLimit Reason = "limit"
 	// ReasonCapacity is a lack of free slots.
 	ReasonCapacity Reason = "no capacity"
+	// ReasonCaller is a caller who left.
+	ReasonCaller Reason = "caller left"
 	// ReasonCap is a cap on shifts or links that is used up.
 	ReasonCap Reason = "cap"
 	// ReasonDeadline is a deadline that has passed or cannot be met.
 	ReasonDeadline Reason = "deadline"
 	// ReasonTarget is a target that could not be reached or broke its answer off.
 	ReasonTarget Reason = "target"
+	// ReasonBroken is a target whose connection ended before the whole answer.
+	ReasonBroken Reason = "connection broken"
 	// ReasonPeer is a peer that could not be reached or did not answer.
 	ReasonPeer Reason = "peer"
 	// ReasonOwner is an operation whose owner is gone.
@@ -48,6 +52,18 @@
 	ReasonNotReady Reason = "not ready"
 )
 
+// Loss tells how the connection to a target failed.
+type Loss int
+
+const (
+	// LossNone is a connection that did not fail.
+	LossNone Loss = iota
+	// LossBroken is a connection that ended before the whole answer.
+	LossBroken
+	// LossRefused is a connection that the target refused.
+	LossRefused
+)
+
 // Result is what is known of a request's run.
 type Result struct {
 	// Outcome tells whether the request was answered, not run or unknown.
@@ -62,6 +78,8 @@
 	Reason Reason
 	// Target is the target that answered.
 	Target string
+	// Loss tells how the connection to the target failed; it is known where the target was tried.
+	Loss Loss
 	// Host is the entry host that ran the request.
 	Host string
 	// Renewed is the token that may run a refused operation.
@@ -110,6 +128,12 @@
 	}
 }
 
+// WithLoss returns the result with how the connection to the target failed.
+func (r Result) WithLoss(l Loss) Result {
+	r.Loss = l
+	return r
+}
+
 // WithHost returns the result with the host that gave it.
 func (r Result) WithHost(host string) Result {
 	r.Host = host
--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/fescuethread/fescuethread/authenticator"
 	"github.com/fescuethread/fescuethread/forwarder"
@@ -10,6 +11,7 @@
 	"github.com/fescuethread/fescuethread/locator"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/registrar"
+	"github.com/fescuethread/fescuethread/retrier"
 	"github.com/fescuethread/fescuethread/router"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -66,6 +68,8 @@
 	Work Work
 	// Zone is the availability zone whose targets are meant.
 	Zone string
+	// Avoid is a target that an earlier try failed on.
+	Avoid string
 }
 
 // Slot is a target's slot held by one request.
@@ -97,10 +101,24 @@
 	Owner(owner identifier.Owner) string
 }
 
-// Budget bounds retries to a part of first tries.
+// Budget bounds retries to a part of each customer's first tries.
 type Budget interface {
 	// First counts a first try.
-	First()
-	// Retry reports whether one more try may be made now.
-	Retry() bool
+	First(now timer.Instant, customer string)
+	// Decide says whether a failed try is repeated.
+	Decide(now timer.Instant, a retrier.Attempt) retrier.Decision
+}
+
+// Suspects exchanges suspicions of requests that crash targets with the hosts that requests are
+// passed to, because heartbeats would bring them too late.
+type Suspects interface {
+	// Tell returns what this host suspects.
+	Tell(now timer.Instant) [][]byte
+	// Hear takes what another host suspects.
+	Hear(now timer.Instant, host string, suspects [][]byte)
+}
+
+// Pauser waits for a duration.
+type Pauser interface {
+	Pause(ctx context.Context, d time.Duration) error
 }
--- a/carrier/peer.go
+++ b/carrier/peer.go
@@ -18,6 +18,7 @@
 	if !ok {
 		return notRun(http.StatusServiceUnavailable, ReasonService).toReply(in.GetId()), nil
 	}
+	c.parts.Suspects.Hear(c.now(), in.GetVia(), in.GetSuspects())
 	w := fromRequest(c.now(), in, idempotent)
 	ctx, cancel := context.WithTimeout(ctx, w.left(c.now()))
 	defer cancel()
@@ -32,7 +33,9 @@
 		logger.F("reason", string(r.Reason)),
 		logger.F("target", r.Target),
 	)
-	return r.toReply(in.GetId()), nil
+	reply := r.toReply(in.GetId())
+	reply.Suspects = c.parts.Suspects.Tell(c.now())
+	return reply, nil
 }
 
 func (c *Carrier) answerPeer(ctx context.Context, w Work, role messenger.Role) Result {
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -7,9 +7,11 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/connector"
+	"github.com/fescuethread/fescuethread/exchanger"
 	"github.com/fescuethread/fescuethread/forwarder"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/retrier"
 	"github.com/fescuethread/fescuethread/router"
 )
 
@@ -17,22 +19,20 @@
 const maxHops = 3
 
 // run tries the availability zones that the router orders until one answers. It tries again only
-// what surely did not run, or what is idempotent, and within the budget.
+// what surely did not run, or what is idempotent, and within the customer's budget.
 func (c *Carrier) run(ctx context.Context, w Work) Result {
-	c.parts.Budget.First()
-	decision := c.parts.Router.Route(c.now(), router.Query{
+	now := c.now()
+	c.parts.Budget.First(now, w.Customer)
+	decision := c.parts.Router.Route(now, router.Query{
 		Service: w.Service, Customer: w.Customer,
 	})
 	result := notRun(http.StatusServiceUnavailable, ReasonCapacity)
 	mayHaveRun := false
 	for i, choice := range decision.Choices {
-		if i > 0 && !c.parts.Budget.Retry() {
-			break
-		}
 		c.logRoute(w, choice, i)
 		result = c.try(ctx, w, choice)
 		mayHaveRun = mayHaveRun || result.Outcome == messenger.Outcome_OUTCOME_UNKNOWN
-		if !c.tryAgain(ctx, w, result) {
+		if !c.tryAgain(ctx, w, result, i+1) {
 			break
 		}
 	}
@@ -42,17 +42,36 @@
 	return result
 }
 
-func (c *Carrier) tryAgain(ctx context.Context, w Work, r Result) bool {
-	if ctx.Err() != nil || w.left(c.now()) <= 0 {
+// tryAgain reports whether a further try is made, once its wait has passed.
+func (c *Carrier) tryAgain(ctx context.Context, w Work, r Result, tries int) bool {
+	if ctx.Err() != nil || !mayRepeat(r, tries) {
 		return false
 	}
-	switch r.Outcome {
-	case messenger.Outcome_OUTCOME_NOT_RUN:
-		return r.Reason != ReasonKey && r.Reason != ReasonSuspect
-	case messenger.Outcome_OUTCOME_UNKNOWN:
-		return w.Idempotent
-	default:
+	d := c.parts.Budget.Decide(c.now(), retrier.Attempt{
+		Customer:   w.Customer,
+		Tries:      tries,
+		Idempotent: w.Idempotent,
+		NotRun:     r.Outcome == messenger.Outcome_OUTCOME_NOT_RUN,
+		Deadline:   w.Deadline,
+	})
+	if !d.Retry() {
+		return false
+	}
+	return c.parts.Pauser.Pause(ctx, d.Wait) == nil
+}
+
+// mayRepeat keeps answers, refusals that hold everywhere, and requests that may crash targets from
+// being sent again: a request whose connection broke is tried on one more target at most.
+func mayRepeat(r Result, tries int) bool {
+	switch {
+	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED:
+		return false
+	case r.Reason == ReasonKey || r.Reason == ReasonSuspect:
 		return false
+	case r.Reason == ReasonBroken:
+		return tries < 2
+	default:
+		return true
 	}
 }
 
@@ -68,18 +87,30 @@
 	return c.pass(ctx, w, choice.Host, messenger.Role_ROLE_CARRY)
 }
 
-// runNear runs the request on a target that this host holds slots of.
+// runNear runs the request on a target that this host holds slots of; when that target cannot be
+// reached it tries another one of the zone.
 func (c *Carrier) runNear(ctx context.Context, w Work, zone string) Result {
-	slot, err := c.parts.Slots.Acquire(ctx, SlotQuery{Work: w, Zone: zone})
+	r := c.runOnce(ctx, SlotQuery{Work: w, Zone: zone})
+	if r.Outcome != messenger.Outcome_OUTCOME_NOT_RUN || r.Reason != ReasonTarget {
+		return r
+	}
+	if !c.tryAgain(ctx, w, r, 1) {
+		return r
+	}
+	return c.runOnce(ctx, SlotQuery{Work: w, Zone: zone, Avoid: r.Target})
+}
+
+func (c *Carrier) runOnce(ctx context.Context, q SlotQuery) Result {
+	slot, err := c.parts.Slots.Acquire(ctx, q)
 	if err != nil {
 		return refusal(err).WithHost(c.cfg.Host)
 	}
-	if !c.granted(w) {
+	if !c.granted(q.Work) {
 		r := notRun(http.StatusUnauthorized, ReasonKey).WithHost(c.cfg.Host)
 		slot.Release(r)
 		return r
 	}
-	r := c.exchange(ctx, w, slot)
+	r := c.exchange(ctx, q.Work, slot)
 	slot.Release(r)
 	return r
 }
@@ -123,13 +154,20 @@
 }
 
 func (c *Carrier) exchangeFailed(ctx context.Context, err error) Result {
-	if forwarder.NotRun(err) {
+	switch {
+	case exchanger.Refused(err):
+		return notRun(http.StatusServiceUnavailable, ReasonTarget).WithLoss(LossRefused)
+	case forwarder.NotRun(err):
 		return notRun(http.StatusServiceUnavailable, ReasonTarget)
-	}
-	if ctx.Err() != nil {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return unknown(http.StatusGatewayTimeout, ReasonCaller)
+	case ctx.Err() != nil:
 		return unknown(http.StatusGatewayTimeout, ReasonDeadline)
+	case exchanger.Lost(err):
+		return unknown(http.StatusBadGateway, ReasonBroken).WithLoss(LossBroken)
+	default:
+		return unknown(http.StatusBadGateway, ReasonTarget)
 	}
-	return unknown(http.StatusBadGateway, ReasonTarget)
 }
 
 // pass hands the request to a peer.
@@ -143,8 +181,12 @@
 		return notRun(http.StatusServiceUnavailable, ReasonPeer)
 	}
 	w.Sender = c.cfg.Zone
-	reply, err := c.parts.Peers.Forward(ctx, peer.Peer, w.toRequest(c.now(), role))
+	in := w.toRequest(c.now(), role)
+	in.Via = c.cfg.Host
+	in.Suspects = c.parts.Suspects.Tell(c.now())
+	reply, err := c.parts.Peers.Forward(ctx, peer.Peer, in)
 	if err == nil {
+		c.parts.Suspects.Hear(c.now(), host, reply.GetSuspects())
 		return fromReply(reply)
 	}
 	var e *connector.Error
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -1,14 +1,10 @@
 package granter
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/fescuethread/fescuethread/carrier"
-	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/isolator"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/scheduler"
 	"github.com/fescuethread/fescuethread/timer"
@@ -19,8 +15,10 @@
 
 // Granter holds the schedulers of the zones near this host.
 type Granter struct {
-	cfg   scheduler.Config
-	now   Clock
+	cfg      scheduler.Config
+	isolator *isolator.Isolator
+	now      Clock
+
 	mu    sync.Mutex
 	zones map[string]*zone
 }
@@ -33,8 +31,8 @@
 }
 
 // New returns a granter without zones.
-func New(cfg scheduler.Config, now Clock) *Granter {
-	return &Granter{cfg: cfg, now: now, zones: make(map[string]*zone)}
+func New(cfg scheduler.Config, i *isolator.Isolator, now Clock) *Granter {
+	return &Granter{cfg: cfg, isolator: i, now: now, zones: make(map[string]*zone)}
 }
 
 // Configure sets the targets of a zone and which of them are draining.
@@ -137,52 +135,6 @@
 	return n
 }
 
-// Acquire waits for a slot of the zone.
-func (g *Granter) Acquire(ctx context.Context, q carrier.SlotQuery) (carrier.Slot, error) {
-	z := g.zone(q.Zone)
-	ticket := z.scheduler.Enqueue(g.now(), scheduler.Work{
-		ID:         q.Work.ID,
-		Customer:   q.Work.Customer,
-		Service:    q.Work.Service,
-		Deadline:   q.Work.Deadline,
-		Idempotent: q.Work.Idempotent,
-	})
-	select {
-	case d := <-ticket.C:
-		return g.granted(z, ticket, d)
-	case <-ctx.Done():
-		z.scheduler.Cancel(g.now(), ticket)
-		return nil, refused(carrier.KindDeadline, ctx.Err())
-	}
-}
-
-func (g *Granter) granted(
-	z *zone, t *scheduler.Ticket, d scheduler.Decision,
-) (carrier.Slot, error) {
-	if !d.Granted() {
-		return nil, refused(kindOf(d.Reason), errors.New(string(d.Reason)))
-	}
-	g.mu.Lock()
-	target, ok := z.targets[d.Target.Name]
-	g.mu.Unlock()
-	if !ok {
-		z.scheduler.Cancel(g.now(), t)
-		return nil, refused(carrier.KindCapacity, errors.New("the target was removed"))
-	}
-	return &slot{granter: g, zone: z, ticket: t, target: target, since: g.now()}, nil
-}
-
-func kindOf(r scheduler.Reason) carrier.Kind {
-	if r == scheduler.ReasonDeadline {
-		return carrier.KindDeadline
-	}
-	return carrier.KindCapacity
-}
-
-func refused(kind carrier.Kind, cause error) error {
-	return &carrier.Error{Op: "acquire", Kind: kind, Err: cause}
-}
-
 func (g *Granter) zone(name string) *zone {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -194,47 +146,3 @@
 	}
 	return z
 }
-
-type slot struct {
-	granter *Granter
-	zone    *zone
-	ticket  *scheduler.Ticket
-	target  registrar.Target
-	since   timer.Instant
-}
-
-// Target is the target that runs the request.
-func (s *slot) Target() registrar.Target {
-	return s.target
-}
-
-// Release gives the slot back.
-func (s *slot) Release(r carrier.Result) {
-	now := s.granter.now()
-	s.zone.scheduler.Done(now, s.ticket, resultOf(r, now.Sub(s.since)))
-}
-
-const (
-	// shedStatus is the HTTP status with which a target sheds load.
-	shedStatus = 503
-	// failedStatus is the lowest HTTP status with which a target tells of a failure of its own.
-	failedStatus = 500
-	// patience is the time from which a deadline that passes counts against the target; a shorter
-	// deadline says nothing, or a caller in a hurry could have targets ejected.
-	patience = time.Second
-)
-
-func resultOf(r carrier.Result, took time.Duration) scheduler.Result {
-	switch {
-	case r.Reason == carrier.ReasonKey:
-		return scheduler.ResultCancelled
-	case r.Reason == carrier.ReasonDeadline && took < patience:
-		return scheduler.ResultCancelled
-	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED && r.Status == shedStatus:
-		return scheduler.ResultShed
-	case r.Outcome == messenger.Outcome_OUTCOME_ANSWERED && r.Status < failedStatus:
-		return scheduler.ResultOK
-	default:
-		return scheduler.ResultFailed
-	}
-}
--- a/prover/failure_test.go
+++ b/prover/failure_test.go
@@ -209,3 +209,39 @@
 		t.Errorf("admitted %.0f, the bound is %.0f", n, most)
 	}
 }
+
+// One request crashes each target that runs it, and its caller sends it again to every host. At
+// most two targets of a host's zone may fall, and other requests go on.
+func TestPoisonRequestIsContained(t *testing.T) {
+	spec := smallFleet()
+	for i := range spec.zones {
+		spec.zones[i].targets = 2
+	}
+	f := newFleet(t, spec)
+	for _, target := range f.targets {
+		f.behave(target, `{"crash":"poison"}`)
+	}
+	h := f.hosts[0]
+	for range 12 {
+		f.call("GET", h.caller, "/catalogue", f.key, "", "poison")
+	}
+	crashed := 0
+	for _, p := range f.targetPs {
+		select {
+		case <-p.done:
+			crashed++
+		default:
+		}
+	}
+	const most = 2
+	if crashed == 0 || crashed > most {
+		t.Errorf("%d targets crashed, the bound is %d", crashed, most)
+	}
+	if a := f.get(f.hosts[3], "/catalogue"); a.status != http.StatusOK {
+		t.Errorf("another request: %+v", a)
+	}
+	refused := f.call("GET", h.caller, "/catalogue", f.key, "", "poison")
+	if refused.reason != "suspect" || refused.outcome != "not run" {
+		t.Errorf("the request is still run: %+v", refused)
+	}
+}
