spec: check the acceptance of configuration

Cause: lost answers, racing operators and restarts in an outage interleave in more ways than tests reach. Before: nothing. Conclusion: deletion and a platform that loses versions are not modelled.

--- /dev/null
+++ b/spec/acceptance.pml
@@ -0,0 +1,1 @@
+#include "acceptance.inc"
--- /dev/null
+++ b/spec/acceptance_broken_nofloor.pml
@@ -0,0 +1,3 @@
+/* A restarted host takes any version that a peer gives. */
+#define NO_FLOOR
+#include "acceptance.inc"
