commander: write through applier, with an exit code for unknown outcomes

Cause: applier and commander both resolved writes and waited for versions in force. Ruled out: dropping applier: its waiting is tested without processes. Change: commander uses applier.Apply and applier.Await; exit code 8 for a write of unknown outcome. Before: the logic stood twice. Conclusion: none.

--- a/commander/apply.go
+++ b/commander/apply.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
+	"github.com/fescuethread/fescuethread/applier"
 	"github.com/fescuethread/fescuethread/exchanger"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/reporter"
@@ -140,16 +141,17 @@
 ) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
-	o, err := s.PutResolved(ctx, storer.Write{
+	o, err := applier.Apply(ctx, s, applier.Change{
 		Name:     documentInventory,
 		Expected: current.Version,
-		Change:   newChange("apply"),
+		ID:       newChange("apply"),
 		Body:     body,
 	})
-	if storer.IsKind(err, storer.KindConflict) {
+	var e *applier.Error
+	if errors.As(err, &e) && e.Kind == applier.KindConflict {
 		return 0, conflict(o, next)
 	}
-	return o.Version, storeError("apply "+a.file, err)
+	return o.Version, applyError("apply "+a.file, err)
 }
 
 // conflict shows what the platform holds that the file does not.
@@ -164,7 +166,7 @@
 	return &Error{Op: "apply", Kind: KindConflict, Err: cause}
 }
 
-// awaitInForce waits until every host that answers reports the version.
+// awaitInForce waits until every host of the inventory reports the version.
 func awaitInForce(
 	ctx context.Context, inv *registrar.Inventory, version uint64, wait time.Duration,
 ) error {
@@ -173,34 +175,47 @@
 	return withClient(func(c *exchanger.Client) error {
 		ticker := time.NewTicker(inForcePeriod)
 		defer ticker.Stop()
-		for {
-			late := hostsBelow(ctx, c, inv, version)
-			if len(late) == 0 {
-				return nil
-			}
-			select {
-			case <-ctx.Done():
-				cause := errors.Errorf("not yet in force on %s", strings.Join(late, ", "))
-				return &Error{Op: "wait", Kind: KindLate, Err: cause}
-			case <-ticker.C:
-			}
+		source := &statusSource{client: c, inventory: inv}
+		if _, err := applier.Await(ctx, source, tickWaiter{ticker}, version); err != nil {
+			return &Error{Op: "wait", Kind: KindLate, Err: err}
 		}
+		return nil
 	})
 }
 
-// hostsBelow returns the hosts that do not report the version, or do not answer.
-func hostsBelow(
-	ctx context.Context, c *exchanger.Client, inv *registrar.Inventory, version uint64,
-) []string {
-	var late []string
-	for _, h := range inv.Hosts() {
+// statusSource reads the versions in force from the hosts' status pages.
+type statusSource struct {
+	client    *exchanger.Client
+	inventory *registrar.Inventory
+}
+
+// HostVersions returns version 0 for hosts that do not answer.
+func (s *statusSource) HostVersions(ctx context.Context) ([]applier.HostVersion, error) {
+	var versions []applier.HostVersion
+	for _, h := range s.inventory.Hosts() {
 		var status reporter.Status
-		err := fetch(ctx, c, "http://"+h.Admin+"/status", &status)
-		if err != nil || versionOf(status.Documents) < version {
-			late = append(late, h.Name)
+		v := applier.HostVersion{Host: h.Name}
+		if fetch(ctx, s.client, "http://"+h.Admin+"/status", &status) == nil {
+			v.Version = versionOf(status.Documents)
 		}
+		versions = append(versions, v)
+	}
+	return versions, nil
+}
+
+// tickWaiter waits for the next tick.
+type tickWaiter struct {
+	ticker *time.Ticker
+}
+
+// Wait returns an error once ctx has ended.
+func (w tickWaiter) Wait(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-w.ticker.C:
+		return nil
 	}
-	return late
 }
 
 func versionOf(documents []reporter.Document) uint64 {
--- a/commander/document.go
+++ b/commander/document.go
@@ -6,6 +6,9 @@
 	"encoding/hex"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/applier"
 	"github.com/fescuethread/fescuethread/enforcer"
 	"github.com/fescuethread/fescuethread/storer"
 )
@@ -44,11 +47,28 @@
 	if err != nil {
 		return o, err
 	}
-	written, err := s.PutResolved(ctx, storer.Write{
+	written, err := applier.Apply(ctx, s, applier.Change{
 		Name:     name,
 		Expected: o.Version,
-		Change:   newChange(command),
+		ID:       newChange(command),
 		Body:     body,
 	})
-	return written, storeError("write "+name, err)
+	return written, applyError("write "+name, err)
+}
+
+// applyError turns an error of a write into one with an exit code.
+func applyError(op string, err error) error {
+	var e *applier.Error
+	switch {
+	case err == nil:
+		return nil
+	case !errors.As(err, &e):
+		return &Error{Op: op, Kind: KindFailed, Err: err}
+	case e.Kind == applier.KindConflict:
+		return &Error{Op: op, Kind: KindConflict, Err: err}
+	case e.Kind == applier.KindUnknown:
+		return &Error{Op: op, Kind: KindUnknown, Err: err}
+	default:
+		return &Error{Op: op, Kind: KindFailed, Err: err}
+	}
 }
--- a/commander/error.go
+++ b/commander/error.go
@@ -18,6 +18,8 @@
 	KindConfirm Kind = "confirmation needed"
 	// KindLate is a wait that ended before what it waited for.
 	KindLate Kind = "late"
+	// KindUnknown is a write that may or may not have taken effect.
+	KindUnknown Kind = "outcome unknown"
 	// KindFailed is any other failure.
 	KindFailed Kind = "failed"
 )
@@ -40,6 +42,8 @@
 	ExitConfirm = 6
 	// ExitLate means that a wait ended before what it waited for.
 	ExitLate = 7
+	// ExitUnknown means that a write may or may not have taken effect.
+	ExitUnknown = 8
 )
 
 // Error is the package's error: the operation, its kind and the cause.
@@ -76,6 +80,8 @@
 		return ExitConfirm
 	case KindLate:
 		return ExitLate
+	case KindUnknown:
+		return ExitUnknown
 	default:
 		return ExitFailed
 	}
--- a/commander/root.go
+++ b/commander/root.go
@@ -45,7 +45,8 @@
 
 Exit codes: 0 done; 1 failed; 2 wrong arguments; 3 input that does not pass its check;
 4 another operator's change came before; 5 platform or host does not answer;
-6 confirmation flag needed; 7 a wait ended before what it waited for.`
+6 confirmation flag needed; 7 a wait ended before what it waited for;
+8 a write may or may not have taken effect: read before writing again.`
 
 // Run runs the command that args name and returns the program's exit code.
 func Run(ctx context.Context, env Environment, args []string) int {
