prover: give each listener a port of its own

Ruled out: fixed ports, which collide between test runs. Change: ports that were given are remembered. Conclusion: a fault of the test, not of the system.

--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -160,13 +160,14 @@
 	targetPs  []*process
 	key       string
 	inventory string
+	taken     map[string]bool
 }
 
 const service = "saleroom"
 
 func newFleet(t *testing.T, spec fleetSpec) *fleet {
 	t.Helper()
-	f := &fleet{t: t, spec: spec, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}}
+	f := &fleet{t: t, spec: spec, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}, taken: make(map[string]bool)}
 	t.Cleanup(f.client.CloseIdleConnections)
 	f.platform = f.freeAddress()
 	startProcess(t, "platform", "--listen", f.platform)
@@ -192,12 +193,18 @@
 
 func (f *fleet) freeAddress() string {
 	f.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !f.taken[address] {
+			f.taken[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 func (f *fleet) writeInventory() string {
