watcher: collect the peers' reports before the first fetch

Cause: a host that starts in an outage could take a lower version from the first peer it hears and run under it until the next peer reports a higher one. A platform that answers watches at once would have been asked in a tight loop. An answer to a write that names another version was believed. Ruled out: waiting for every peer, which a lost one would hold up without end. Change: Puller collects reports for Settle before it fetches; Reader backs off when an empty answer comes before half of its wait; storer.Put treats another version in the answer as a lost answer. The stand-in's targets count the wait for a slot towards the deadline. Before: tests of the start and of the hasty platform did not exist. Conclusion: a host that starts without a reader serves later by Settle.

--- a/standin/targeter/target.go
+++ b/standin/targeter/target.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -98,6 +100,11 @@
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
+	if left, ok := deadline(r.Header); ok && b.Fault != FaultLate {
+		ctx, cancel := context.WithTimeout(r.Context(), left)
+		defer cancel()
+		r = r.WithContext(ctx)
+	}
 	if b.Fault == FaultShed || !t.acquire(r.Context()) {
 		t.shed(w, b.RetryAfter)
 		return
@@ -119,8 +126,8 @@
 	if k.behavior.Crash != "" && bytes.Contains(k.body, []byte(k.behavior.Crash)) {
 		t.crash()
 	}
-	if err := t.work(r, k); err != nil {
-		t.giveUp(w, r)
+	if err := pause(r.Context(), t.latency(k)); err != nil {
+		t.giveUp(w, r, err)
 		return
 	}
 	t.answer(w, r, k)
@@ -133,25 +140,20 @@
 	panic(http.ErrAbortHandler)
 }
 
-// work takes the time of a run and stops early at the deadline or when the caller cancels.
-func (t *Target) work(r *http.Request, k task) error {
-	ctx := r.Context()
-	d := t.cfg.Latency
-	if k.run <= t.cfg.Cold {
-		d = t.cfg.ColdLatency
-	}
-	if k.behavior.Fault == FaultLate {
-		d = k.behavior.Delay
-	} else if left, ok := deadline(r.Header); ok {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, left)
-		defer cancel()
+func (t *Target) latency(k task) time.Duration {
+	switch {
+	case k.behavior.Fault == FaultLate:
+		return k.behavior.Delay
+	case k.run <= t.cfg.Cold:
+		return t.cfg.ColdLatency
+	default:
+		return t.cfg.Latency
 	}
-	return pause(ctx, d)
 }
 
-func (t *Target) giveUp(w http.ResponseWriter, r *http.Request) {
-	if r.Context().Err() != nil {
+// giveUp ends a run at its deadline or because the caller cancelled it.
+func (t *Target) giveUp(w http.ResponseWriter, r *http.Request, err error) {
+	if !errors.Is(err, context.DeadlineExceeded) {
 		t.counter.add(cancelledRuns)
 		panic(http.ErrAbortHandler)
 	}
@@ -160,7 +162,7 @@
 	http.Error(w, "the deadline has passed", http.StatusGatewayTimeout)
 }
 
-// acquire takes a slot; it returns false if the target sheds or the caller has gone.
+// acquire takes a slot; it returns false if the target sheds or ctx ends.
 func (t *Target) acquire(ctx context.Context) bool {
 	select {
 	case t.slots <- struct{}{}:
--- a/storer/client.go
+++ b/storer/client.go
@@ -92,6 +92,9 @@
 		return 0, err
 	}
 	version, err := ParseVersion(a.header.Get("ETag"))
+	if err == nil && version != expected+1 {
+		err = errors.Errorf("the answer names version %d for %d", version, expected+1)
+	}
 	if err != nil {
 		return 0, &Error{Op: op, Kind: KindUnavailable, Err: err}
 	}
--- a/watcher/puller.go
+++ b/watcher/puller.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/retrier"
 )
 
 // heardSize is the number of reports that wait to be looked at.
@@ -25,6 +26,11 @@
 	Shelf *Shelf
 	// Fetcher asks a peer for a document.
 	Fetcher Fetcher
+	// Settle is how long reports are collected before the first fetch, so that a host that starts
+	// takes the newest version that its peers have.
+	Settle time.Duration
+	// Pauser waits for Settle.
+	Pauser retrier.Pauser
 	// Timeout bounds each fetch.
 	Timeout time.Duration
 	// Rand picks among the peers.
@@ -39,6 +45,8 @@
 	heard   chan report
 	fetched chan outcome
 	pulls   map[string]*pull
+	fetches sync.WaitGroup
+	settled bool
 }
 
 // outcome is the end of one fetch.
@@ -75,25 +83,52 @@
 
 // Run fetches documents until ctx ends, one fetch at a time for each document.
 func (p *Puller) Run(ctx context.Context) error {
-	var fetches sync.WaitGroup
-	defer fetches.Wait()
+	defer p.fetches.Wait()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	settled := p.settle(ctx)
 	for {
-		var name string
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-settled:
+			settled = nil
+			p.settled = true
+			p.startAll(ctx)
 		case r := <-p.heard:
-			name = r.version.Name
-			p.pull(name).add(r)
+			p.pull(r.version.Name).add(r)
+			p.start(ctx, r.version.Name)
 		case o := <-p.fetched:
-			name = o.source.version.Name
 			p.finish(o)
+			p.start(ctx, o.source.version.Name)
 		}
-		if source, ok := p.next(name); ok {
-			fetches.Go(func() { p.fetch(ctx, source) })
+	}
+}
+
+// settle returns a channel that is closed once fetches may begin.
+func (p *Puller) settle(ctx context.Context) <-chan struct{} {
+	settled := make(chan struct{})
+	p.fetches.Go(func() {
+		if p.cfg.Pauser.Pause(ctx, p.cfg.Settle) == nil {
+			close(settled)
 		}
+	})
+	return settled
+}
+
+func (p *Puller) startAll(ctx context.Context) {
+	for name := range p.pulls {
+		p.start(ctx, name)
+	}
+}
+
+// start begins the document's next fetch if one is due.
+func (p *Puller) start(ctx context.Context, name string) {
+	if !p.settled {
+		return
+	}
+	if source, ok := p.next(name); ok {
+		p.fetches.Go(func() { p.fetch(ctx, source) })
 	}
 }
 
--- a/watcher/puller_test.go
+++ b/watcher/puller_test.go
@@ -41,11 +41,20 @@
 }
 
 func startPuller(t *testing.T, s *Shelf) (*Puller, fetches) {
+	t.Helper()
+	p, f, settle := startUnsettledPuller(t, s)
+	<-settle.asked
+	return p, f
+}
+
+func startUnsettledPuller(t *testing.T, s *Shelf) (*Puller, fetches, pauses) {
 	t.Helper()
 	f := make(fetches)
+	settle := pauses{asked: make(chan time.Duration)}
 	p := NewPuller(PullerConfig{
 		Shelf:   s,
 		Fetcher: f,
+		Pauser:  settle,
 		Timeout: time.Hour,
 		Rand:    rand.New(rand.NewSource(1)),
 		Log:     logger.New(io.Discard, logger.FormatJSON, log.InfoLevel),
@@ -59,7 +68,7 @@
 			t.Error(err)
 		}
 	})
-	return p, f
+	return p, f, settle
 }
 
 func at(v uint64) Document { return Document{Name: doc, Version: v} }
@@ -103,6 +112,21 @@
 	c.answer <- at(4)
 }
 
+func TestPullerCollectsReportsAtStart(t *testing.T) {
+	s, _ := newTestShelf()
+	sub := s.Subscribe(doc)
+	defer sub.Close()
+	p, f, settle := startUnsettledPuller(t, s)
+	p.Hear("a", reports(5))
+	p.Hear("b", reports(7))
+	<-settle.asked
+	c := <-f
+	c.answer <- at(7)
+	if d := <-sub.C(); c.host != "b" || d.Version != 7 {
+		t.Fatalf("asked %s, version %d", c.host, d.Version)
+	}
+}
+
 func TestPullerLeavesRefusedVersion(t *testing.T) {
 	s, _ := newTestShelf(3)
 	sub := s.Subscribe(doc)
@@ -118,3 +142,33 @@
 		t.Fatalf("asked %s, version %d", c.host, d.Version)
 	}
 }
+
+// peers are the shelves of other hosts.
+type peers map[string]*Shelf
+
+func (p peers) Fetch(_ context.Context, host string, wanted Version) (Document, error) {
+	d, ok := p[host].Newest(wanted.Name)
+	if !ok {
+		return d, errors.New("missing")
+	}
+	return d, nil
+}
+
+func TestRestartInOutageTakesNewestFromPeers(t *testing.T) {
+	old, _ := newTestShelf()
+	mustOffer(t, old, 4, true)
+	ahead, _ := newTestShelf()
+	mustOffer(t, ahead, 6, true)
+	s, _ := newTestShelf()
+	sub := s.Subscribe(doc)
+	defer sub.Close()
+	p, _, settle := startUnsettledPuller(t, s)
+	p.cfg.Fetcher = peers{"old": old, "ahead": ahead}
+	p.Hear("old", old.Versions())
+	p.Hear("ahead", ahead.Versions())
+	<-settle.asked
+	if d := <-sub.C(); d.Version != 6 || len(s.Behind()) != 0 {
+		t.Fatalf("started at %d, behind %v", d.Version, s.Behind())
+	}
+	mustOffer(t, s, 5, false)
+}
--- a/watcher/reader.go
+++ b/watcher/reader.go
@@ -109,6 +109,10 @@
 	r.succeed()
 	r.take(l)
 	r.contact.Store(int64(sent) + 1)
+	if len(l.Objects) == 0 && r.cfg.Now().Sub(sent) < r.cfg.Wait/2 {
+		// A platform that answers without waiting must not be asked in a tight loop.
+		return r.cfg.Backoff.Wait(ctx)
+	}
 	return nil
 }
 
--- a/watcher/reader_test.go
+++ b/watcher/reader_test.go
@@ -161,3 +161,24 @@
 	}
 	r.stop()
 }
+
+// hastyPlatform answers every watch at once.
+type hastyPlatform struct{}
+
+func (hastyPlatform) Watch(context.Context, string, uint64, time.Duration) (storer.Listing, error) {
+	return storer.Listing{}, nil
+}
+
+func TestReaderPacesHastyPlatform(t *testing.T) {
+	p := pauses{asked: make(chan time.Duration, 1)}
+	r := NewReader(ReaderConfig{
+		Platform: hastyPlatform{},
+		Wait:     time.Hour,
+		Backoff:  retrier.New(time.Second, time.Second, rand.New(rand.NewSource(1)), p),
+		Now:      func() timer.Instant { return 0 },
+	})
+	r.elected = true
+	if err := r.step(context.Background()); err != nil || len(p.asked) != 1 {
+		t.Fatalf("%v after %d pauses", err, len(p.asked))
+	}
+}
