watcher: drop an error kind that nothing returns

Cause: KindMissing of the watcher was declared and never used. Ruled out: keeping it for the service that answers peers, which lives in another package. Change: the kind is gone, and KindFetch says what it is. Conclusion: none further.

--- a/watcher/error.go
+++ b/watcher/error.go
@@ -8,9 +8,7 @@
 const (
 	// KindRefused is a document that doesn't pass its check.
 	KindRefused Kind = "refused"
-	// KindMissing is a document that isn't held.
-	KindMissing Kind = "missing"
-	// KindFetch is a document that no peer gave.
+	// KindFetch is a peer's answer that isn't the document asked for.
 	KindFetch Kind = "fetch"
 )
 
