loader: keep the bound on stale keys above the age of a healthy contact

Cause: merge of the watcher's settling time; with a watch of 5 s the age of a healthy contact reaches 10 s, so a bound of 5 s would have refused keyed routes for no reason. Ruled out: a longer bound for tests only. Change: platform.watch is 2 s by default; settings whose bound is below twice the watch and a timeout are refused. Before: such settings were accepted. Conclusion: none.

--- a/assembler/distribution.go
+++ b/assembler/distribution.go
@@ -22,6 +22,8 @@
 	// firstBackoff and longestBackoff bound the delays between failed calls to the platform.
 	firstBackoff   = 200 * time.Millisecond
 	longestBackoff = 5 * time.Second
+	// settle is the time for which a starting host collects reports before its first fetch.
+	settle = 500 * time.Millisecond
 	// listPeriod is the time between two readings of the platform's list of hosts.
 	listPeriod = 5 * time.Second
 )
@@ -50,6 +52,8 @@
 	h.puller = watcher.NewPuller(watcher.PullerConfig{
 		Shelf:   h.shelf,
 		Fetcher: h.peers,
+		Settle:  settle,
+		Pauser:  pacer.Clock{},
 		Timeout: s.Peers.Timeout.Std(),
 		Rand:    random(),
 		Log:     h.log,
--- a/loader/check.go
+++ b/loader/check.go
@@ -16,7 +16,7 @@
 	c.platform(s.Platform)
 	c.peers(s)
 	c.callers(s.Callers)
-	c.keys(s.Keys)
+	c.keys(s)
 	c.work(s.Work)
 	c.duration("drain.limit", s.Drain.Limit, time.Second, time.Hour)
 	c.choice("log.level", s.Log.Level, "debug", "info", "warn", "error")
@@ -69,9 +69,16 @@
 	c.duration("callers.lifetime", v.Lifetime, time.Second, 10*time.Minute)
 }
 
-func (c *checker) keys(k Keys) {
+func (c *checker) keys(s Settings) {
+	k := s.Keys
 	c.choice("keys.stale", k.Stale, StaleRefuse, StaleServe)
 	c.duration("keys.bound", k.Bound, time.Second, time.Hour)
+	// The age of a contact reaches twice the wait of a watch while all is well.
+	least := 2*s.Platform.Watch + s.Platform.Timeout
+	if k.Bound < least {
+		c.fault("keys.bound", "%s clashes with platform.watch and platform.timeout; it must be "+
+			"at least %s", k.Bound.Std(), least.Std())
+	}
 }
 
 func (c *checker) work(w Work) {
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -83,7 +83,7 @@
 	return Settings{
 		Platform: Platform{
 			Timeout: Duration(time.Second),
-			Watch:   Duration(5 * time.Second),
+			Watch:   Duration(2 * time.Second),
 		},
 		Peers: Peers{
 			Timeout: Duration(time.Second),
--- a/watcher/puller.go
+++ b/watcher/puller.go
@@ -9,7 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/logger"
-	"github.com/fescuethread/fescuethread/retrier"
+	"github.com/fescuethread/fescuethread/pacer"
 )
 
 // heardSize is the number of reports that wait to be looked at.
@@ -30,7 +30,7 @@
 	// takes the newest version that its peers have.
 	Settle time.Duration
 	// Pauser waits for Settle.
-	Pauser retrier.Pauser
+	Pauser pacer.Pauser
 	// Timeout bounds each fetch.
 	Timeout time.Duration
 	// Rand picks among the peers.
--- a/watcher/reader_test.go
+++ b/watcher/reader_test.go
@@ -174,7 +174,7 @@
 	r := NewReader(ReaderConfig{
 		Platform: hastyPlatform{},
 		Wait:     time.Hour,
-		Backoff:  retrier.New(time.Second, time.Second, rand.New(rand.NewSource(1)), p),
+		Backoff:  pacer.New(time.Second, time.Second, rand.New(rand.NewSource(1)), p),
 		Now:      func() timer.Instant { return 0 },
 	})
 	r.elected = true
