detector: survive lossy networks and cut the traffic of large fleets

Ruled out: a longer round (stale sums of other zones); larger bounds for remote hosts (the views were wrong for ever, not late); reporting nobody missing whenever no host of the own zone is heard (the last host of a zone is then silent about dead ones). Change: reports of missing hosts win over heartbeats older than 6 s; a pause of the own process isn't counted as silence of others; a host that hears nobody reports nobody missing. Full heartbeats every third second in large fleets, receivers spread by a salt, one relay per zone and round.

--- a/detector/fleet_test.go
+++ b/detector/fleet_test.go
@@ -14,6 +14,8 @@
 const (
 	step   = 100 * time.Millisecond
 	origin = timer.Instant(time.Hour)
+	// firstIncarnation is as long on the wire as a start in nanoseconds.
+	firstIncarnation = 1 << 60
 )
 
 // parcel is a digest on its way.
@@ -60,7 +62,7 @@
 		f.index[f.hosts[i].Name] = i
 	}
 	for _, info := range f.hosts {
-		f.start(info.Name, 1)
+		f.start(info.Name, firstIncarnation)
 	}
 	return f
 }
--- a/detector/receive.go
+++ b/detector/receive.go
@@ -1,14 +1,23 @@
 package detector
 
 import (
+	"time"
+
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
+const (
+	// relayNumerator and relayDenominator are the part of a reporting round without a second relay.
+	relayNumerator   = 3
+	relayDenominator = 4
+)
+
 // Receive takes in a digest and returns the answer for its sender; the answer may be empty.
 func (t *Table) Receive(
 	now timer.Instant, from string, digest *messenger.Digest,
 ) *messenger.Digest {
+	t.wake(now)
 	answer := &messenger.Digest{From: t.cfg.Host}
 	for _, m := range digest.GetMembers() {
 		if m.GetHost() == t.cfg.Host {
@@ -30,15 +39,15 @@
 
 func (t *Table) merge(now timer.Instant, from string, e *entry, m *messenger.Member) {
 	if m.State == messenger.State_STATE_UNSPECIFIED {
-		t.report(from, e, m)
+		t.miss(now, from, e, m)
 		return
 	}
 	if !newer(m, e.member) {
-		t.repeat(from, e, m)
+		t.repeat(now, from, e, m)
 		return
 	}
 	t.accept(now, e, m)
-	t.relay(from, m)
+	t.relay(now, from, e, m)
 }
 
 // newer reports whether m is a later heartbeat than old.
@@ -65,51 +74,76 @@
 	z := t.zones[e.info.Zone]
 	z.heard = now
 	z.known = true
-	if !t.direct(e) && speaks(m) {
-		z.speaker = m
-		z.speakerAt = now
+	if m.Az != "" {
+		// It is more than a notice; from another zone it speaks for the zone.
+		e.report = m
+		e.reported = now
+		z.speaker = e
 	}
 }
 
-// speaks reports whether a member from another zone is a summary and not only a notice.
-func speaks(m *messenger.Member) bool {
-	return m.Az != ""
-}
-
-// report records that the host's own zone doesn't hear it, unless something newer is known.
-func (t *Table) report(from string, e *entry, m *messenger.Member) {
-	if t.direct(e) || newer(e.member, m) {
+// miss records that the host's own zone doesn't hear it, unless something newer was just heard.
+func (t *Table) miss(now timer.Instant, from string, e *entry, m *messenger.Member) {
+	if t.direct(e) {
+		return
+	}
+	// The zone may have lost the host's last heartbeats, so they prove nothing for long.
+	if newer(e.member, m) && now.Sub(e.heard) < DeadAfter {
 		return
 	}
 	if newer(m, e.member) {
 		e.member = notice(m)
 	}
 	e.missing = true
-	t.relay(from, m)
+	t.relay(now, from, e, m)
 }
 
 // repeat passes on a notice of a departure that a new host of the own zone may not know yet.
-func (t *Table) repeat(from string, e *entry, m *messenger.Member) {
+func (t *Table) repeat(now timer.Instant, from string, e *entry, m *messenger.Member) {
 	if m.State != messenger.State_STATE_LEFT || newer(e.member, m) {
 		return
 	}
-	t.relay(from, m)
+	t.relay(now, from, e, m)
 }
 
 // relay keeps what another zone told for the own zone, until a mate is seen to have told it.
-func (t *Table) relay(from string, m *messenger.Member) {
-	if t.mesh() {
-		return
-	}
+func (t *Table) relay(now timer.Instant, from string, e *entry, m *messenger.Member) {
 	sender := t.entries[from]
-	if sender == nil {
+	if t.mesh() || t.direct(e) || sender == nil {
 		return
 	}
-	if sender.info.Zone != t.cfg.Zone {
-		t.relays[m.Host] = m
+	z := t.zones[e.info.Zone]
+	full := m.Az != ""
+	switch {
+	case t.direct(sender):
+		t.relayedByMate(z, m)
+	case full && now.Sub(z.relayed) < t.relayPause():
+		// The zone's other speaker was heard in the same round.
 		return
+	default:
+		t.relays[m.Host] = m
+	}
+	if full {
+		z.relayed = now
 	}
+}
+
+// relayedByMate drops what the mates need not hear twice.
+func (t *Table) relayedByMate(z *zone, m *messenger.Member) {
 	if kept := t.relays[m.Host]; kept != nil && !newer(kept, m) {
 		delete(t.relays, m.Host)
 	}
+	if m.Az == "" {
+		return
+	}
+	for _, name := range z.hosts {
+		if kept := t.relays[name]; kept != nil && kept.Az != "" {
+			delete(t.relays, name)
+		}
+	}
+}
+
+// relayPause is the time in which one summary of a zone is enough.
+func (t *Table) relayPause() time.Duration {
+	return time.Duration(t.reportTicks()) * Period * relayNumerator / relayDenominator
 }
--- a/detector/table.go
+++ b/detector/table.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/messenger"
@@ -24,11 +25,16 @@
 	LeftKept = 10 * time.Minute
 
 	// zonesPerPeriod is the number of remote zones that a zone reports to in one period.
-	zonesPerPeriod = 20
+	zonesPerPeriod = 16
 	// readersPerZone is the number of hosts of a zone that read the platform.
 	readersPerZone = 2
+	// fullTicks is the number of periods between two full heartbeats of an unchanged host in a
+	// large fleet; those between are notices.
+	fullTicks = 3
 	// probeTicks is the number of periods between two heartbeats to a dead peer.
 	probeTicks = 3
+	// saltRange bounds the salt of a host.
+	saltRange = 1 << 20
 	// noticesPerDigest bounds the notices of one digest about hosts that changed.
 	noticesPerDigest = 4
 )
@@ -72,25 +78,35 @@
 	contact  timer.Instant
 	reached  bool
 	replaced bool
-	entries  map[string]*entry
-	names    []string
-	zones    map[string]*zone
-	order    []string
+	// changed is set when peers should get a full heartbeat next.
+	changed bool
+	entries map[string]*entry
+	names   []string
+	zones   map[string]*zone
+	order   []string
 	// relays are members told by other zones that the own zone has yet to hear.
 	relays map[string]*messenger.Member
 	turn   int
+	// last is the instant of the last tick or digest.
+	last timer.Instant
+	// quiet is the instant until which this host tells others of no dead hosts: it just started, or
+	// heard nobody a moment ago, so that it was cut off itself.
+	quiet timer.Instant
+	// salt spreads the receivers that different hosts pick at the same time.
+	salt int
 }
 
 // entry is what is known of one other host.
 type entry struct {
 	info   HostInfo
 	member *messenger.Member
+	// report is the newest heartbeat that was more than a notice, heard at reported.
+	report   *messenger.Member
+	reported timer.Instant
 	// heard is the instant at which the sequence last grew, by the own clock.
 	heard timer.Instant
 	// born is the instant at which the incarnation was first heard of.
 	born timer.Instant
-	// added is the instant at which the host entered the table.
-	added timer.Instant
 	// changed is the instant of the last change that other zones should hear of soon.
 	changed timer.Instant
 	// missing is set while the host's own zone reports that it doesn't hear it.
@@ -114,6 +130,9 @@
 		},
 		entries: make(map[string]*entry),
 		relays:  make(map[string]*messenger.Member),
+		last:    cfg.Start,
+		quiet:   cfg.Start.Add(DeadAfter),
+		salt:    int(xxhash.Sum64String(cfg.Host) % saltRange),
 	}
 	t.Configure(cfg.Start, nil)
 	return t, nil
@@ -129,7 +148,7 @@
 		}
 		e := old[info.Name]
 		if e == nil {
-			e = &entry{member: &messenger.Member{Host: info.Name}, added: now, heard: now}
+			e = &entry{member: &messenger.Member{Host: info.Name}, heard: now}
 		}
 		e.info = info
 		t.entries[info.Name] = e
@@ -164,7 +183,7 @@
 	if z == nil {
 		z = old[info.Zone]
 		if z == nil {
-			z = &zone{heard: now, added: now}
+			z = &zone{heard: now}
 		}
 		z.name = info.Zone
 		z.region = info.Region
@@ -187,11 +206,13 @@
 // SetState sets the own state.
 func (t *Table) SetState(state messenger.State) {
 	t.self.State = state
+	t.changed = true
 }
 
 // SetDocuments sets the versions of the documents in force here.
 func (t *Table) SetDocuments(documents []*messenger.DocumentVersion) {
 	t.self.Documents = documents
+	t.changed = true
 }
 
 // SetContact sets the instant of the newest confirmed contact with the platform.
@@ -208,11 +229,13 @@
 // SetSuccessor sets the host that adopted the own operations.
 func (t *Table) SetSuccessor(host string) {
 	t.self.Successor = host
+	t.changed = true
 }
 
 // SetSuspects sets the fingerprints of requests suspected of crashing targets.
 func (t *Table) SetSuspects(suspects [][]byte) {
 	t.self.Suspects = suspects
+	t.changed = true
 }
 
 // Replaced reports whether a higher incarnation of the own host was heard of.
@@ -225,8 +248,12 @@
 	if t.replaced {
 		return nil
 	}
+	t.wake(now)
 	t.self.Sequence++
 	t.turn++
+	if t.alone(now) {
+		t.quiet = now.Add(DeadAfter)
+	}
 	out := t.heartbeats(now)
 	if !t.mesh() {
 		out = append(out, t.reports(now)...)
@@ -235,9 +262,34 @@
 	return out
 }
 
+// wake leaves out of all silences the time in which this process was paused and heard nothing.
+func (t *Table) wake(now timer.Instant) {
+	gap := now.Sub(t.last)
+	t.last = now
+	if gap < SuspectAfter {
+		return
+	}
+	for _, e := range t.entries {
+		e.heard = e.heard.Add(gap)
+	}
+	for _, z := range t.zones {
+		z.heard = z.heard.Add(gap)
+	}
+}
+
+// alone reports whether no other host is heard.
+func (t *Table) alone(now timer.Instant) bool {
+	for _, z := range t.zones {
+		if now.Sub(z.heard) < DeadAfter {
+			return false
+		}
+	}
+	return true
+}
+
 // heartbeats returns the digests for the direct peers.
 func (t *Table) heartbeats(now timer.Instant) []Message {
-	members := []*messenger.Member{t.heartbeat(now)}
+	members := []*messenger.Member{t.next(now)}
 	if t.IsReader(now) {
 		members = append(members, t.departures(now)...)
 	}
@@ -253,6 +305,16 @@
 	return out
 }
 
+// next is the heartbeat for the direct peers.
+func (t *Table) next(now timer.Instant) *messenger.Member {
+	m := t.heartbeat(now)
+	if !t.mesh() && !t.changed && t.self.Sequence%fullTicks != 1 {
+		return notice(m)
+	}
+	t.changed = false
+	return m
+}
+
 func (t *Table) due(now timer.Instant, e *entry, i int) bool {
 	state, _ := t.judge(now, e)
 	if state != StateDead && state != StateLeft {
--- a/detector/view.go
+++ b/detector/view.go
@@ -157,10 +157,11 @@
 		Successor:   e.member.Successor,
 	}
 	if t.direct(e) {
-		v.Documents = e.member.Documents
-		v.Contact = contactAge(now, e.member, e.heard)
-		v.Loads = e.member.Loads
-		v.Suspects = e.member.Suspects
+		report := e.current()
+		v.Documents = report.Documents
+		v.Contact = e.contactAge(now)
+		v.Loads = report.Loads
+		v.Suspects = report.Suspects
 	}
 	return v
 }
@@ -187,11 +188,20 @@
 	return now.Sub(t.contact)
 }
 
-func contactAge(now timer.Instant, m *messenger.Member, heard timer.Instant) time.Duration {
-	if m.Incarnation == 0 || m.Contact >= noContact {
+// current is the newest full heartbeat of the host's incarnation; it may be empty.
+func (e *entry) current() *messenger.Member {
+	if e.report == nil || e.report.Incarnation != e.member.Incarnation {
+		return &messenger.Member{Contact: noContact}
+	}
+	return e.report
+}
+
+func (e *entry) contactAge(now timer.Instant) time.Duration {
+	report := e.current()
+	if report.Contact >= noContact {
 		return NoContact
 	}
-	return time.Duration(m.Contact)*time.Millisecond + now.Sub(heard)
+	return time.Duration(report.Contact)*time.Millisecond + now.Sub(e.reported)
 }
 
 func encodeContact(age time.Duration) uint64 {
@@ -274,9 +284,10 @@
 	if z.speaker == nil {
 		return
 	}
-	v.Contact = contactAge(now, z.speaker, z.speakerAt)
-	v.Loads = z.speaker.Loads
-	v.Suspects = z.speaker.Suspects
+	report := z.speaker.current()
+	v.Contact = z.speaker.contactAge(now)
+	v.Loads = report.Loads
+	v.Suspects = report.Suspects
 }
 
 func heard(s State) bool {
@@ -335,7 +346,7 @@
 	var holders []string
 	for _, name := range t.names {
 		e := t.entries[name]
-		version := t.version(e, document)
+		version := e.version(document)
 		if version == 0 || version < top {
 			continue
 		}
@@ -350,12 +361,8 @@
 	return top, holders
 }
 
-func (t *Table) version(e *entry, document string) uint64 {
-	m := e.member
-	if speaker := t.zones[e.info.Zone].speaker; speaker != nil && speaker.Host == m.Host {
-		m = speaker
-	}
-	for _, d := range m.Documents {
+func (e *entry) version(document string) uint64 {
+	for _, d := range e.current().Documents {
 		if d.Name == document {
 			return d.Version
 		}
--- a/detector/zone.go
+++ b/detector/zone.go
@@ -19,11 +19,11 @@
 	hosts  []string
 	// heard is the instant at which a sequence of the zone last grew, by the own clock.
 	heard timer.Instant
-	added timer.Instant
 	known bool
-	// speaker is the newest heartbeat that spoke for the zone.
-	speaker   *messenger.Member
-	speakerAt timer.Instant
+	// relayed is the instant at which a summary of the zone was last passed on in the own zone.
+	relayed timer.Instant
+	// speaker is the host that last sent a full heartbeat.
+	speaker *entry
 	// picks and rotation count the digests made for the zone.
 	picks    int
 	rotation int
@@ -90,7 +90,7 @@
 	if len(candidates) == 0 || z.picks%probeTicks == 0 {
 		candidates = z.hosts
 	}
-	return candidates[z.picks%len(candidates)]
+	return candidates[(z.picks+t.salt)%len(candidates)]
 }
 
 func (t *Table) present(now timer.Instant, z *zone) []string {
@@ -113,9 +113,10 @@
 		if state != StateLive && state != StateLeaving {
 			continue
 		}
-		sum.add(e.member.Loads)
-		m.Contact = min(m.Contact, encodeContact(contactAge(now, e.member, e.heard)))
-		m.Suspects = union(m.Suspects, e.member.Suspects)
+		report := e.current()
+		sum.add(report.Loads)
+		m.Contact = min(m.Contact, encodeContact(e.contactAge(now)))
+		m.Suspects = union(m.Suspects, report.Suspects)
 	}
 	m.Loads = sum.loads()
 	return m
@@ -198,25 +199,21 @@
 // news returns the mates that changed, newest change first.
 func (t *Table) news(now timer.Instant, mates []*entry) []*entry {
 	var out []*entry
-	heard := false
 	for _, e := range mates {
 		state, _ := t.judge(now, e)
-		heard = heard || state == StateLive
 		if t.newsworthy(now, e, state) {
 			out = append(out, e)
 		}
 	}
-	if !heard && len(mates) > 1 {
-		// A host that hears none of its zone is more likely cut off itself.
-		return nil
-	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].changed > out[j].changed })
 	return out[:min(len(out), noticesPerDigest)]
 }
 
 func (t *Table) newsworthy(now timer.Instant, e *entry, state State) bool {
 	switch state {
-	case StateDead, StateLeaving:
+	case StateDead:
+		return !now.Before(t.quiet)
+	case StateLeaving:
 		return true
 	case StateLeft:
 		return t.departed(now, e)
