identifier: share room and answers between customers

Cause: a customer could hold half of all identities, so that two large ones filled the registry, and the large answers of one evicted those of all; a malformed handover could hold times without bound. Ruled out: a fixed part per customer (wasted when few are active); evicting issued identities (a token that was given out could then not be used). Change: a customer may hold as many identities as are left free; the customer with the most bytes of kept answers gives up its oldest; Finish returns the runner's own answer even when it can't be kept; Adopt checks times and counts; FuzzAdopt; smaller default room.

--- a/identifier/handover.go
+++ b/identifier/handover.go
@@ -18,6 +18,8 @@
 	handoverRecordBytes = 80
 	// handoverIssuedBytes is a count of issued identities.
 	handoverIssuedBytes = 128
+	// maxLeft bounds the times in a handover, far above any lifetime.
+	maxLeft = 24 * time.Hour
 	// base64 makes four bytes of three.
 	base64Numerator   = 4
 	base64Denominator = 3
@@ -56,6 +58,7 @@
 	Phase       phase         `json:"p"`
 	Reason      string        `json:"r,omitempty"`
 	Answer      []byte        `json:"a,omitempty"`
+	Customer    string        `json:"c,omitempty"`
 }
 
 type issuedPart struct {
@@ -144,8 +147,7 @@
 	for _, l := range s.ledgers {
 		spare -= len(l.records) * handoverRecordBytes
 	}
-	for e := s.answers.Back(); e != nil; e = e.Prev() {
-		rec, _ := e.Value.(*record)
+	for _, rec := range s.answers.newest() {
 		spare -= answerBytes(rec)
 		if spare < 0 {
 			return
@@ -204,6 +206,7 @@
 		part.Phase = phaseUnknown
 	case rec.phase == phaseAnswered && p.answers[rec]:
 		part.Answer = rec.answer
+		part.Customer = rec.customer
 	case rec.phase == phaseAnswered:
 		part.Phase = phaseSpent
 	}
@@ -272,6 +275,11 @@
 		}
 		taken = append(taken, l)
 	}
+	for _, part := range h.Issued {
+		if part.Count < 0 || !sane(part.Left) {
+			return &Error{Op: op, Kind: KindMalformed, Err: errors.New("count of identities")}
+		}
+	}
 	for _, part := range h.Issued {
 		s.calendar.reserve(part.Customer, part.Count, now.Add(part.Left))
 	}
@@ -287,14 +295,19 @@
 	for _, rec := range l.sorted() {
 		s.calendar.add(l, rec)
 		if rec.phase == phaseAnswered {
-			s.keep(rec, rec.answer)
+			s.answers.keep(rec, rec.answer)
 		}
 	}
 }
 
+// sane reports whether a time to expiry is one that a registry can export.
+func sane(left time.Duration) bool {
+	return left > -maxLeft && left < maxLeft
+}
+
 func (p ledgerPart) ledger(now timer.Instant) (*ledger, error) {
-	if len(p.Key) != keyBytes {
-		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("signing key")}
+	if len(p.Key) != keyBytes || !sane(p.Left) {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("ledger")}
 	}
 	l := newLedger(p.Owner, p.Key)
 	l.offset = p.Shift + time.Duration(now)
@@ -319,10 +332,11 @@
 }
 
 func (p recordPart) record(now timer.Instant) (*record, error) {
-	if p.Phase == phaseRunning || p.Phase > phaseUnknown {
-		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("phase of a record")}
+	if p.Phase == phaseRunning || p.Phase > phaseUnknown || !sane(p.Left) {
+		return nil, &Error{Op: "adopt", Kind: KindMalformed, Err: errors.New("record")}
 	}
 	rec := &record{
+		customer:   p.Customer,
 		number:     p.Number,
 		generation: p.Generation,
 		expiry:     now.Add(p.Left),
--- a/identifier/ledger.go
+++ b/identifier/ledger.go
@@ -1,7 +1,6 @@
 package identifier
 
 import (
-	"container/list"
 	"time"
 
 	"github.com/fescuethread/fescuethread/timer"
@@ -22,6 +21,7 @@
 
 // record is the state of an identity that was used at least once.
 type record struct {
+	customer    string
 	number      uint64
 	generation  uint64
 	expiry      timer.Instant
@@ -33,7 +33,7 @@
 	forgotten bool
 	reason    string
 	answer    []byte
-	kept      *list.Element
+	kept      *slot
 	done      chan struct{}
 }
 
--- a/identifier/registry.go
+++ b/identifier/registry.go
@@ -11,12 +11,10 @@
 )
 
 const (
-	defaultLifetime   = 2 * time.Minute
-	defaultRunTimeout = time.Minute
-	defaultIdentities = 1 << 16
-	// defaultCustomerPart is the part of the identities that one customer may hold.
-	defaultCustomerPart  = 2
-	defaultAnswerBytes   = 8 << 20
+	defaultLifetime      = 2 * time.Minute
+	defaultRunTimeout    = time.Minute
+	defaultIdentities    = 1 << 16
+	defaultAnswerBytes   = 4 << 20
 	defaultHandoverBytes = 3 << 20
 	// maxLedgers bounds the owners that one process answers for.
 	maxLedgers     = 16
@@ -31,10 +29,9 @@
 	Lifetime time.Duration
 	// RunTimeout is the time after which a run that did not finish has an unknown outcome.
 	RunTimeout time.Duration
-	// MaxIdentities bounds the issued identities that have not expired.
+	// MaxIdentities bounds the issued identities that have not expired; a customer may hold as
+	// many of them as are left free.
 	MaxIdentities int
-	// MaxCustomerIdentities bounds those of one customer.
-	MaxCustomerIdentities int
 	// MaxAnswerBytes bounds the kept answers together.
 	MaxAnswerBytes int
 	// MaxHandoverBytes bounds the encoded handover to a successor.
@@ -44,13 +41,12 @@
 // DefaultConfig returns the bounds of an ordinary host.
 func DefaultConfig(owner Owner) Config {
 	return Config{
-		Owner:                 owner,
-		Lifetime:              defaultLifetime,
-		RunTimeout:            defaultRunTimeout,
-		MaxIdentities:         defaultIdentities,
-		MaxCustomerIdentities: defaultIdentities / defaultCustomerPart,
-		MaxAnswerBytes:        defaultAnswerBytes,
-		MaxHandoverBytes:      defaultHandoverBytes,
+		Owner:            owner,
+		Lifetime:         defaultLifetime,
+		RunTimeout:       defaultRunTimeout,
+		MaxIdentities:    defaultIdentities,
+		MaxAnswerBytes:   defaultAnswerBytes,
+		MaxHandoverBytes: defaultHandoverBytes,
 	}
 }
 
@@ -161,7 +157,7 @@
 	st := Stats{
 		Issued:      s.calendar.outstand,
 		Running:     len(s.running),
-		AnswerBytes: s.answerBytes,
+		AnswerBytes: s.answers.bytes,
 	}
 	for _, l := range s.ledgers {
 		st.Records += len(l.records)
--- a/identifier/state.go
+++ b/identifier/state.go
@@ -1,8 +1,6 @@
 package identifier
 
 import (
-	"container/list"
-
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/timer"
@@ -13,18 +11,16 @@
 
 // state is the registry without its lock; instants are arguments.
 type state struct {
-	cfg      Config
-	own      *ledger
-	ledgers  map[Owner]*ledger
-	calendar *calendar
-	running  map[*record]struct{}
-	// answers lists the records whose answer is kept, oldest first.
-	answers     *list.List
-	answerBytes int
-	last        uint64
-	lastExpiry  timer.Instant
-	frozen      bool
-	export      *exported
+	cfg        Config
+	own        *ledger
+	ledgers    map[Owner]*ledger
+	calendar   *calendar
+	running    map[*record]struct{}
+	answers    *answers
+	last       uint64
+	lastExpiry timer.Instant
+	frozen     bool
+	export     *exported
 	// adopted lists whose handover was taken; taking it again would forget what ran since.
 	adopted map[Owner]struct{}
 }
@@ -37,7 +33,7 @@
 		ledgers:  map[Owner]*ledger{cfg.Owner: own},
 		calendar: newCalendar(max(cfg.Lifetime/calendarBuckets, 1)),
 		running:  make(map[*record]struct{}),
-		answers:  list.New(),
+		answers:  newAnswers(cfg.MaxAnswerBytes),
 		adopted:  make(map[Owner]struct{}),
 	}
 }
@@ -48,12 +44,11 @@
 		return "", &Error{Op: op, Kind: KindFrozen}
 	}
 	s.forget(now)
-	if s.calendar.outstand >= s.cfg.MaxIdentities {
+	// A customer may hold as many as are left free, so that none can take all of them.
+	free := s.cfg.MaxIdentities - s.calendar.outstand
+	if s.calendar.issued[work.Customer] >= free {
 		return "", &Error{Op: op, Kind: KindFull}
 	}
-	if s.calendar.issued[work.Customer] >= s.cfg.MaxCustomerIdentities {
-		return "", &Error{Op: op, Kind: KindFull, Err: errors.New("customer's part is used up")}
-	}
 	id := Identity{
 		Owner:  s.cfg.Owner,
 		Work:   work,
@@ -152,7 +147,7 @@
 }
 
 func (s *state) add(l *ledger, id Identity) *record {
-	rec := &record{number: id.Number, expiry: l.expiry(id)}
+	rec := &record{customer: id.Work.Customer, number: id.Number, expiry: l.expiry(id)}
 	l.records[id.Number] = rec
 	s.calendar.add(l, rec)
 	return rec
@@ -205,10 +200,17 @@
 
 // finish ends the run that the claim was told to make and returns what to tell its caller.
 func (s *state) finish(c Claim, result Result) Claim {
-	if s.runs(c) {
-		s.settle(c.record, result)
+	if !s.runs(c) {
+		return s.resume(c)
+	}
+	s.settle(c.record, result)
+	if result.phase != phaseAnswered {
+		return s.resume(c)
 	}
-	return s.resume(c)
+	s.answers.keep(c.record, result.answer)
+	c.Outcome = OutcomeDone
+	c.Answer = result.answer
+	return c
 }
 
 func (s *state) runs(c Claim) bool {
@@ -220,12 +222,9 @@
 
 func (s *state) settle(rec *record, result Result) {
 	rec.phase = result.phase
-	switch result.phase {
-	case phaseFree:
+	if result.phase == phaseFree {
 		rec.generation++
 		rec.reason = result.reason[:min(len(result.reason), maxReasonBytes)]
-	case phaseAnswered:
-		s.keep(rec, result.answer)
 	}
 	delete(s.running, rec)
 	if rec.done != nil {
@@ -234,35 +233,6 @@
 	}
 }
 
-func (s *state) keep(rec *record, answer []byte) {
-	if len(answer) > s.cfg.MaxAnswerBytes {
-		rec.phase = phaseSpent
-		rec.answer = nil
-		return
-	}
-	rec.answer = answer
-	if rec.forgotten {
-		return
-	}
-	rec.kept = s.answers.PushBack(rec)
-	s.answerBytes += len(answer)
-	for s.answerBytes > s.cfg.MaxAnswerBytes {
-		oldest, _ := s.answers.Front().Value.(*record)
-		s.evict(oldest)
-		oldest.phase = phaseSpent
-		oldest.answer = nil
-	}
-}
-
-func (s *state) evict(rec *record) {
-	if rec.kept == nil {
-		return
-	}
-	s.answers.Remove(rec.kept)
-	rec.kept = nil
-	s.answerBytes -= len(rec.answer)
-}
-
 // sweep forgets what expired and gives up runs past their timeout.
 func (s *state) sweep(now timer.Instant) {
 	s.forget(now)
@@ -276,7 +246,7 @@
 func (s *state) forget(now timer.Instant) {
 	for _, e := range s.calendar.expire(now) {
 		e.record.forgotten = true
-		s.evict(e.record)
+		s.answers.drop(e.record)
 		delete(e.ledger.records, e.record.number)
 	}
 	for owner, l := range s.ledgers {
