identifier: tell a conflict from a refusal that was not run

Cause: a token used with another body was refused as a mismatch that may say 'not run'; when a proxy has changed the body of the same operation, the operation may have been run. Ruled out: a digest without the body, which would let one token stand for two bookings. Change: KindConflict, which never says 'not run'. Before: Error.NotRun was true of it. After: false; go test -race ./identifier passes.

--- a/identifier/error.go
+++ b/identifier/error.go
@@ -12,8 +12,11 @@
 	KindForged Kind = "forged"
 	// KindExpired is a token past its expiry; its operation may have been run before.
 	KindExpired Kind = "expired"
-	// KindMismatch is a token used for another operation than it was issued or first used for.
+	// KindMismatch is a token used for other work than it was issued for, or a handover to another
+	// process.
 	KindMismatch Kind = "mismatch"
+	// KindConflict is a token that was first used for another path or body, which may have been run.
+	KindConflict Kind = "conflict"
 	// KindForeign is a token of another owner or of another incarnation of this host.
 	KindForeign Kind = "foreign"
 	// KindFull is a registry without room for another identity.
@@ -52,7 +55,7 @@
 // NotRun reports whether a refusal with this error may say that the request was not run.
 func (e *Error) NotRun() bool {
 	switch e.Kind {
-	case KindExpired, KindForeign, KindFrozen, KindMoved:
+	case KindConflict, KindExpired, KindForeign, KindFrozen, KindMoved:
 		return false
 	default:
 		return true
--- a/identifier/registry_test.go
+++ b/identifier/registry_test.go
@@ -121,7 +121,10 @@
 	wantKind(t, err, KindMismatch)
 	begin(t, r, start, token, OutcomeRun)
 	_, err = r.Begin(start, token, booked, [32]byte{2})
-	wantKind(t, err, KindMismatch)
+	wantKind(t, err, KindConflict)
+	if (&Error{Kind: KindConflict}).NotRun() {
+		t.Fatal("'not run' is said of an operation that was begun")
+	}
 	_, err = newRegistry(t, owner, nil).Begin(start, token, booked, body)
 	wantKind(t, err, KindForged)
 	_, err = newRegistry(t, heir, nil).Begin(start, token, booked, body)
--- a/identifier/state.go
+++ b/identifier/state.go
@@ -75,7 +75,7 @@
 	}
 	if !claim.record.bind(digest) {
 		err := errors.New("the identity was first used for another path or body")
-		return Claim{}, &Error{Op: "begin", Kind: KindMismatch, Err: err}
+		return Claim{}, &Error{Op: "begin", Kind: KindConflict, Err: err}
 	}
 	if !claim.startable() {
 		return s.resume(claim), nil
