--- a/detector/lossy_test.go
+++ b/detector/lossy_test.go
@@ -319,3 +319,22 @@
 		f.wantAgreement(t)
 	}
 }
+
+func TestFleetGrowsPastTheMesh(t *testing.T) {
+	f := newFleet(6, MeshHosts+1)
+	all := f.hosts
+	f.hosts = all[:MeshHosts]
+	for _, info := range f.hosts {
+		f.tables[info.Name].Configure(f.now, f.hosts)
+	}
+	f.run(10 * time.Second)
+	f.wantAgreement(t)
+	f.hosts = all
+	f.start(all[MeshHosts].Name, firstIncarnation+1)
+	for i := range MeshHosts {
+		f.table(i).Configure(f.now, all)
+		f.run(time.Second)
+	}
+	f.run(20 * time.Second)
+	f.wantAgreement(t)
+}
