identifier: split the adoption of a handover

Cause: the function that took over a handover checked, decoded and entered it in one piece. Ruled out: leaving it; it had grown past what is read at a glance. Change: checks and decoding have functions of their own; behaviour is the same. Before and after: go test -race ./identifier passes.

--- a/identifier/handover.go
+++ b/identifier/handover.go
@@ -258,27 +258,16 @@
 }
 
 func (s *state) take(now timer.Instant, h handover) error {
-	const op = "adopt"
 	s.forget(now)
 	if len(s.ledgers)+len(h.Ledgers) > maxLedgers {
-		return &Error{Op: op, Kind: KindFull}
+		return &Error{Op: "adopt", Kind: KindFull}
 	}
-	taken := make([]*ledger, 0, len(h.Ledgers))
-	for _, part := range h.Ledgers {
-		l, err := part.ledger(now)
-		if err != nil {
-			return err
-		}
-		if s.ledgers[l.owner] != nil {
-			err := errors.Errorf("%s is answered for already", l.owner.Host)
-			return &Error{Op: op, Kind: KindMismatch, Err: err}
-		}
-		taken = append(taken, l)
+	taken, err := s.decodeLedgers(now, h.Ledgers)
+	if err != nil {
+		return err
 	}
-	for _, part := range h.Issued {
-		if part.Count < 0 || !sane(part.Left) {
-			return &Error{Op: op, Kind: KindMalformed, Err: errors.New("count of identities")}
-		}
+	if err := checkIssued(h.Issued); err != nil {
+		return err
 	}
 	for _, part := range h.Issued {
 		s.calendar.reserve(part.Customer, part.Count, now.Add(part.Left))
@@ -290,6 +279,32 @@
 	return nil
 }
 
+func checkIssued(parts []issuedPart) error {
+	for _, part := range parts {
+		if part.Count < 0 || !sane(part.Left) {
+			err := errors.New("count of identities")
+			return &Error{Op: "adopt", Kind: KindMalformed, Err: err}
+		}
+	}
+	return nil
+}
+
+func (s *state) decodeLedgers(now timer.Instant, parts []ledgerPart) ([]*ledger, error) {
+	out := make([]*ledger, 0, len(parts))
+	for _, part := range parts {
+		l, err := part.ledger(now)
+		if err != nil {
+			return nil, err
+		}
+		if s.ledgers[l.owner] != nil {
+			err := errors.Errorf("%s is answered for already", l.owner.Host)
+			return nil, &Error{Op: "adopt", Kind: KindMismatch, Err: err}
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
 func (s *state) enter(l *ledger) {
 	s.ledgers[l.owner] = l
 	for _, rec := range l.sorted() {
--- a/identifier/token.go
+++ b/identifier/token.go
@@ -39,7 +39,7 @@
 type Owner struct {
 	// Host is the owner's name.
 	Host string `json:"host"`
-	// Incarnation tells apart the processes that ran under the name.
+	// Incarnation tells apart the processes that ran under the name; no two may share it.
 	Incarnation uint64 `json:"incarnation"`
 }
 
