prover: cut hosts off, pause them and check slots, keys and operations

Ruled out: packet filters, which need rights that a fresh machine may not give; relays between the processes tell hosts apart by the address that their connections come from. Change: connections to peers come from the host's own address; relays that cut a pair of ends; tests of withdrawal through peers, isolation, outage, pause with cut, slots, handover, drain of a target.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -211,6 +212,7 @@
 		Host:         s.Host.Name,
 		Incarnation:  h.incarnation,
 		MessageBytes: int(s.Peers.Message),
+		Source:       sourceOf(s.Listen.Peer),
 		IdlePerPeer:  idlePerPeer,
 	}
 	h.pool = connector.NewPool(cfg)
@@ -224,6 +226,16 @@
 	return err
 }
 
+// sourceOf returns the IP number of the peer address, so that peers see this host's connections come
+// from the address that they know; a host that listens on all addresses lets the system choose.
+func sourceOf(address string) string {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil || a.Addr().IsUnspecified() {
+		return ""
+	}
+	return a.Addr().String()
+}
+
 func (h *Host) buildConfiguration(context.Context) error {
 	h.enforcer = enforcer.New(h, h.settings.Callers.Lifetime.Std(), h.log)
 	h.peers = &peers{pool: h.pool, enforcer: h.enforcer}
--- a/connector/config.go
+++ b/connector/config.go
@@ -17,6 +17,8 @@
 	Incarnation uint64
 	// MessageBytes is the largest message accepted.
 	MessageBytes int
+	// Source is the IP number that connections to peers come from; empty lets the system choose.
+	Source string
 	// IdlePerPeer is the largest number of idle connections kept for each peer.
 	IdlePerPeer int
 }
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -147,7 +147,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
-	var d net.Dialer
+	d := net.Dialer{}
+	if ip := net.ParseIP(p.cfg.Source); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	raw, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, &Error{Op: "dial " + address, Kind: KindUnsent, Err: err}
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -145,7 +145,13 @@
 	*process
 	name, zone          string
 	caller, peer, admin string
-	config              string
+	// ip is the address that the host's connections to peers come from.
+	ip string
+	// listen is where it listens for peers, behind the relay at peer.
+	listen string
+	// platform is its relay to the platform.
+	platform string
+	config   string
 }
 
 // fleet is a system under test.
@@ -161,14 +167,16 @@
 	key       string
 	inventory string
 	taken     map[string]bool
+	network   *network
 }
 
 const service = "saleroom"
 
 func newFleet(t *testing.T, spec fleetSpec) *fleet {
 	t.Helper()
-	f := &fleet{t: t, spec: spec, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}, taken: make(map[string]bool)}
+	f := &fleet{t: t, spec: spec, dir: t.TempDir(), client: &http.Client{Timeout: 20 * time.Second}, taken: make(map[string]bool), network: newNetwork()}
 	t.Cleanup(f.client.CloseIdleConnections)
+	t.Cleanup(f.network.close)
 	f.platform = f.freeAddress()
 	startProcess(t, "platform", "--listen", f.platform)
 	f.eventually("the platform listens", func() bool {
@@ -192,9 +200,14 @@
 }
 
 func (f *fleet) freeAddress() string {
+	f.t.Helper()
+	return f.freeAddressOn("127.0.0.1")
+}
+
+func (f *fleet) freeAddressOn(ip string) string {
 	f.t.Helper()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", ip+":0")
 		if err != nil {
 			f.t.Fatal(err)
 		}
@@ -250,9 +263,12 @@
 			name:   fmt.Sprintf("%s-%d", z.name, i+1),
 			zone:   z.name,
 			caller: f.freeAddress(),
-			peer:   f.freeAddress(),
 			admin:  f.freeAddress(),
 		}
+		h.ip = fmt.Sprintf("127.0.1.%d", len(f.hosts)+1)
+		h.listen = f.freeAddressOn(h.ip)
+		h.peer = f.network.relay(f.t, "127.0.0.1:0", h.ip, h.listen)
+		h.platform = f.network.relayFrom(f.t, h.ip, platformIP, f.platform)
 		f.hosts = append(f.hosts, h)
 		fmt.Fprintf(b, "[[hosts]]\nname = %q\nzone = %q\naddress = %q\npeer = %q\nadmin = %q\n",
 			h.name, h.zone, h.caller, h.peer, h.admin)
@@ -277,7 +293,7 @@
 	text := fmt.Sprintf("[host]\nname = %q\nzone = %q\n[listen]\ncaller = %q\npeer = %q\nadmin = %q\n"+
 		"[platform]\naddress = %q\n[peers]\nseeds = [%q]\n[callers]\nlifetime = \"1s\"\n"+
 		"[keys]\nbound = \"5s\"\n",
-		h.name, h.zone, h.caller, h.peer, h.admin, f.platform, f.hosts[0].peer)
+		h.name, h.zone, h.caller, h.listen, h.admin, h.platform, f.hosts[0].peer)
 	if err := os.WriteFile(h.config, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
@@ -424,6 +440,7 @@
 // runs is what a target counted.
 type runs struct {
 	Total      int `json:"total"`
+	Peak       int `json:"peak"`
 	Operations []struct {
 		ID   string `json:"id"`
 		Runs int    `json:"runs"`
