logger: list the events in docs/EVENTS.md, held to the code

Cause: operators need the catalogue of numbered events, and the catalogue has to follow the code. Ruled out: a test in logger, whose binary links none of the packages that define events, and would list events of tests only. Before: no page. Conclusion: a new event needs go test ./commander -update.

--- a/commander/apply.go
+++ b/commander/apply.go
@@ -23,7 +23,7 @@
 replaces that in one conditional write. When another operator's change came before, nothing is
 written and the difference is shown. A change that takes away most targets of a service, a
 region, most hosts or most customers needs --confirm-removal. With --wait, apply returns once every
-live host reports the version in force.`
+host of the inventory reports the version in force; a host that does not answer counts as late.`
 
 // inForcePeriod is the time between two looks at the hosts' versions.
 const inForcePeriod = 200 * time.Millisecond
@@ -47,7 +47,7 @@
 		text += strings.Join(r.Changes, "\n") + "\n"
 	}
 	if r.InForce {
-		text += "in force on every live host\n"
+		text += "in force on every host\n"
 	}
 	return text
 }
--- a/commander/error.go
+++ b/commander/error.go
@@ -42,6 +42,23 @@
 	ExitLate = 7
 )
 
+// exitCode is one exit code for the help and the manual.
+type exitCode struct {
+	code    int
+	meaning string
+}
+
+var exitCodes = []exitCode{
+	{ExitOK, "done"},
+	{ExitFailed, "failed for a reason that has no code of its own"},
+	{ExitUsage, "wrong arguments"},
+	{ExitInput, "a file or document does not pass its check"},
+	{ExitConflict, "another operator's change came before; nothing was written"},
+	{ExitUnreachable, "the platform or a host does not answer"},
+	{ExitConfirm, "the change needs a confirmation flag"},
+	{ExitLate, "a wait ended before what it waited for"},
+}
+
 // Error is the package's error: the operation, its kind and the cause.
 type Error struct {
 	// Op is the operation that failed.
--- a/commander/keys.go
+++ b/commander/keys.go
@@ -16,7 +16,8 @@
 }
 
 const keysHelp = `Keys grants, withdraws, rotates and lists keys. The platform holds digests only;
-a new key is printed once, on standard output, and nowhere else.`
+a new key is printed once, on standard output, and nowhere else. A grant or a withdrawal
+is accepted when the command ends with exit code 0; hosts follow within seconds.`
 
 func newKeys(env Environment, opts *options) *cobra.Command {
 	cmd := &cobra.Command{
@@ -76,7 +77,9 @@
 	cmd := &cobra.Command{
 		Use:   "rotate {--key KEY | --digest DIGEST}",
 		Short: "Make a key beside an old one, which goes on working until it is withdrawn",
-		Args:  cobra.NoArgs,
+		Example: "  fescuethread keys rotate --platform 127.0.0.1:7000 --key \"$KEY\"\n" +
+			"  fescuethread keys rotate --platform 127.0.0.1:7000 --digest 9f86d0…",
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			old, err := chosenDigest(key, digest)
 			if err != nil {
@@ -216,9 +219,10 @@
 
 func newKeysList(env Environment, opts *options) *cobra.Command {
 	return &cobra.Command{
-		Use:   "list",
-		Short: "List the digests of all keys with their customer and state",
-		Args:  cobra.NoArgs,
+		Use:     "list",
+		Short:   "List the digests of all keys with their customer and state",
+		Example: "  fescuethread keys list --platform 127.0.0.1:7000",
+		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return opts.withPlatform(func(s *storer.Client) error {
 				o, err := s.Get(cmd.Context(), documentKeys)
--- a/commander/root.go
+++ b/commander/root.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/lesismal/nbio/logging"
 	"github.com/pkg/errors"
@@ -41,11 +42,17 @@
 	outputJSON = "json"
 )
 
-const longHelp = `fescuethread steers requests to a region and target that can serve them.
+const rootHelp = "fescuethread steers requests to a region and target that can serve them."
 
-Exit codes: 0 done; 1 failed; 2 wrong arguments; 3 input that does not pass its check;
-4 another operator's change came before; 5 platform or host does not answer;
-6 confirmation flag needed; 7 a wait ended before what it waited for.`
+// longHelp returns the program's help with its exit codes.
+func longHelp() string {
+	var b strings.Builder
+	b.WriteString(rootHelp + "\n\nExit codes:\n")
+	for _, c := range exitCodes {
+		fmt.Fprintf(&b, "  %d  %s\n", c.code, c.meaning)
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
 
 // Run runs the command that args name and returns the program's exit code.
 func Run(ctx context.Context, env Environment, args []string) int {
@@ -70,7 +77,7 @@
 	root := &cobra.Command{
 		Use:           "fescuethread",
 		Short:         "Steer requests to a region and target that can serve them",
-		Long:          longHelp,
+		Long:          longHelp(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
--- a/commander/version.go
+++ b/commander/version.go
@@ -25,9 +25,10 @@
 
 func newVersion(env Environment, opts *options) *cobra.Command {
 	return &cobra.Command{
-		Use:   "version",
-		Short: "Print the version of the program and of the peer protocol",
-		Args:  cobra.NoArgs,
+		Use:     "version",
+		Short:   "Print the version of the program and of the peer protocol",
+		Example: "  fescuethread version -o json",
+		Args:    cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
 			return opts.print(env.Out, readVersion())
 		},
--- a/enforcer/events.go
+++ b/enforcer/events.go
@@ -8,7 +8,7 @@
 
 var (
 	eventInForce = logger.Define(1620, log.InfoLevel, "document in force",
-		"A new version of a configuration document is in force on this host.",
+		"All parts of this host use the new version of a configuration document.",
 		"Nothing.")
 	eventFailed = logger.Define(1621, log.ErrorLevel, "document not put in force",
 		"A part of this host refused a version of a configuration document that passed its check.",
--- /dev/null
+++ b/logger/manual.go
@@ -0,0 +1,27 @@
+package logger
+
+import (
+	"fmt"
+	"strings"
+)
+
+const manualHead = `# Log events
+
+Each log line carries its event's number in the field "event" and the event's name as its message.
+docs/OPERATIONS.md says for each number what to check. The command
+"go test ./commander -update" generates this page.
+
+| number | level | name | meaning | action |
+|---|---|---|---|---|
+`
+
+// Manual returns docs/EVENTS.md: every event that the linked packages define.
+func Manual() string {
+	var b strings.Builder
+	b.WriteString(manualHead)
+	for _, e := range Catalogue() {
+		fmt.Fprintf(&b, "| %d | %s | %s | %s | %s |\n",
+			e.Number, e.Level, e.Name, e.Meaning, e.Action)
+	}
+	return b.String()
+}
