--- a/commander/manual_test.go
+++ b/commander/manual_test.go
@@ -93,6 +93,9 @@
 	if !cmd.HasSubCommands() && cmd.Example == "" {
 		t.Errorf("%s lacks an example", cmd.CommandPath())
 	}
+	for _, line := range commandLine.FindAllStringSubmatch(cmd.Example, -1) {
+		checkCommand(t, cmd.CommandPath(), strings.Fields(line[1]))
+	}
 	for _, sub := range cmd.Commands() {
 		checkHelp(t, sub)
 	}
