--- a/commander/manual_test.go
+++ b/commander/manual_test.go
@@ -13,7 +13,7 @@
 	"github.com/fescuethread/fescuethread/logger"
 )
 
-var updatePages = flag.Bool("update", false, "write docs/EVENTS.md and docs/COMMANDS.md anew")
+var updatePages = flag.Bool("update", false, "write the generated pages anew")
 
 func TestEventsAreCommitted(t *testing.T) {
 	checkPage(t, "../docs/EVENTS.md", logger.Manual())
