--- a/commander/error.go
+++ b/commander/error.go
@@ -18,6 +18,8 @@
 	KindConfirm Kind = "confirmation needed"
 	// KindLate is a wait that ended before what it waited for.
 	KindLate Kind = "late"
+	// KindUnknown is a write that may or may not have taken effect.
+	KindUnknown Kind = "outcome unknown"
 	// KindFailed is any other failure.
 	KindFailed Kind = "failed"
 )
@@ -40,6 +42,8 @@
 	ExitConfirm = 6
 	// ExitLate means that a wait ended before what it waited for.
 	ExitLate = 7
+	// ExitUnknown means that a write may or may not have taken effect.
+	ExitUnknown = 8
 )
 
 // exitCode is one exit code for the help and the manual.
@@ -57,6 +61,7 @@
 	{ExitUnreachable, "the platform or a host does not answer"},
 	{ExitConfirm, "the change needs a confirmation flag"},
 	{ExitLate, "a wait ended before what it waited for"},
+	{ExitUnknown, "a write may or may not have taken effect; read before writing again"},
 }
 
 // Error is the package's error: the operation, its kind and the cause.
@@ -93,6 +98,8 @@
 		return ExitConfirm
 	case KindLate:
 		return ExitLate
+	case KindUnknown:
+		return ExitUnknown
 	default:
 		return ExitFailed
 	}
--- a/commander/manual_test.go
+++ b/commander/manual_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -85,6 +86,20 @@
 	}
 }
 
+var exitConstant = regexp.MustCompile(`(?m)^\tExit\w+ = (\d+)$`)
+
+func TestExitCodesAreListed(t *testing.T) {
+	defined := exitConstant.FindAllStringSubmatch(readPage(t, "error.go"), -1)
+	if len(defined) != len(exitCodes) {
+		t.Fatalf("%d exit codes are defined, %d listed", len(defined), len(exitCodes))
+	}
+	for i, code := range defined {
+		if strconv.Itoa(exitCodes[i].code) != code[1] {
+			t.Errorf("exit code %s is listed as %d", code[1], exitCodes[i].code)
+		}
+	}
+}
+
 func checkHelp(t *testing.T, cmd *cobra.Command) {
 	t.Helper()
 	if cmd.Short == "" {
