detector: let joining hosts read the platform

Cause: TestIsolatedHostRefusesKeyedRoutes: a host cut off right after the start took the cut for an outage and served a withdrawn key (200 for 60 s, 3 of 3 runs). While all hosts of a zone were joining none was a reader, so contacts grew old and the last reports of all peers said that they had lost the platform, which is the mark of an outage. Ruled out: the relays of the test; a bound that is too short for the watch (also found, see loader). Change: joining hosts count as live for readers and speakers; keys.bound must be twice the age of a healthy contact. Also mended, found by typing the runbook: a target that reports a drain gets no new work; regions without a link are left out; a drain of what the inventory no longer names does not block others; a host that the inventory does not name is not ready; unknown services are no metric labels; an identity that came with another body has a reason of its own; the idle deadline no longer cuts a request that runs for longer. Conclusion: the standing rule on keys holds for a host that is cut off at any time after its start.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -226,8 +226,8 @@
 	return err
 }
 
-// sourceOf returns the IP number of the peer address, so that peers see this host's connections come
-// from the address that they know; a host that listens on all addresses lets the system choose.
+// sourceOf returns the IP number of the peer address, so that peers see this host's connections
+// come from the address that they know; a host that listens on all addresses lets the system choose.
 func sourceOf(address string) string {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a.Addr().IsUnspecified() {
@@ -287,7 +287,6 @@
 		AnswerBytes: 2 * int(s.Callers.Answer),
 		Connections: s.Callers.Connections,
 		Idle:        s.Callers.Idle.Std(),
-		Busy:        s.Callers.Timeout.Std() + s.Callers.Idle.Std(),
 	}, h.carrier)
 	if err != nil {
 		return err
@@ -299,7 +298,6 @@
 		AnswerBytes: adminAnswerBytes,
 		Connections: adminConnections,
 		Idle:        s.Callers.Idle.Std(),
-		Busy:        s.Callers.Idle.Std(),
 	}, http.Handler(reporter.New(h)))
 	return err
 }
--- a/assembler/source.go
+++ b/assembler/source.go
@@ -21,9 +21,13 @@
 
 // Ready returns an empty string when the host can serve, and otherwise the reason.
 func (h *Host) Ready() string {
-	if h.enforcer.Snapshot() == nil {
+	s := h.enforcer.Snapshot()
+	if s == nil {
 		return "no configuration"
 	}
+	if _, ok := s.Inventory.Host(h.settings.Host.Name); !ok {
+		return "the inventory does not name this host"
+	}
 	if !h.joined.Load() {
 		return "joining"
 	}
--- a/carrier/gateway.go
+++ b/carrier/gateway.go
@@ -92,11 +92,12 @@
 		return w, notRun(http.StatusServiceUnavailable, ReasonNotReady), false
 	}
 	name, path := splitPath(r.URL.EscapedPath())
-	w.Service = name
 	service, ok := s.Inventory.Service(name)
 	if !ok {
 		return w, notRun(http.StatusNotFound, ReasonService), false
 	}
+	// Only a known name may become a label of metrics.
+	w.Service = name
 	timeout, ok := c.timeout(r, service)
 	if !ok {
 		return w, notRun(http.StatusBadRequest, ReasonMalformed), false
--- a/carrier/operation.go
+++ b/carrier/operation.go
@@ -118,10 +118,16 @@
 
 func refusedIdentity(err error) Result {
 	var e *identifier.Error
-	if errors.As(err, &e) && e.NotRun() {
+	switch {
+	case !errors.As(err, &e):
+		return unknown(http.StatusConflict, ReasonOwner)
+	case e.Kind == identifier.KindConflict:
+		return unknown(http.StatusConflict, ReasonConflict)
+	case e.NotRun():
 		return notRun(http.StatusConflict, ReasonIdentity)
+	default:
+		return unknown(http.StatusConflict, ReasonOwner)
 	}
-	return unknown(http.StatusConflict, ReasonOwner)
 }
 
 func refusalStatus(reason Reason) int {
--- a/carrier/outcome.go
+++ b/carrier/outcome.go
@@ -26,6 +26,8 @@
 	ReasonForbidden Reason = "forbidden"
 	// ReasonIdentity is non-idempotent work without a usable operation identity.
 	ReasonIdentity Reason = "operation identity"
+	// ReasonConflict is an operation identity that was first used with another path or body.
+	ReasonConflict Reason = "identity conflict"
 	// ReasonLimit is a request above the customer's rate and burst.
 	ReasonLimit Reason = "limit"
 	// ReasonCapacity is a lack of free slots.
--- a/commander/drain.go
+++ b/commander/drain.go
@@ -67,7 +67,7 @@
 		return drainResult{}, err
 	}
 	o, err := update(cmd.Context(), s, drainer.Document, "drain", func(body []byte) ([]byte, error) {
-		next, err := editPlan(body, d, undo)
+		next, err := editPlan(body, inv, d, undo)
 		if err != nil {
 			return nil, err
 		}
@@ -80,14 +80,16 @@
 	return drainResult{Version: o.Version, Drains: plan.Drains()}, err
 }
 
-func editPlan(body []byte, d drainer.Drain, undo bool) (drainer.Plan, error) {
+func editPlan(
+	body []byte, inv *registrar.Inventory, d drainer.Drain, undo bool,
+) (drainer.Plan, error) {
 	var plan drainer.Plan
 	if len(body) > 0 {
 		parsed, err := drainer.Parse(body)
 		if err != nil {
 			return plan, &Error{Op: "drain", Kind: KindInput, Err: err}
 		}
-		plan = parsed
+		plan = parsed.WithKnown(inv)
 	}
 	if undo {
 		return plan.Without(d), nil
--- a/detector/zone.go
+++ b/detector/zone.go
@@ -76,7 +76,7 @@
 func (t *Table) live(now timer.Instant, z *zone) []string {
 	var out []string
 	for _, name := range z.hosts {
-		if t.State(now, name) == StateLive {
+		if state := t.State(now, name); state == StateLive || state == StateJoining {
 			out = append(out, name)
 		}
 	}
--- a/drainer/plan.go
+++ b/drainer/plan.go
@@ -94,6 +94,12 @@
 	return Plan{drains: rest}
 }
 
+// WithKnown returns the plan without drains of what the inventory no longer names.
+func (p Plan) WithKnown(inv *registrar.Inventory) Plan {
+	rest := slices.DeleteFunc(slices.Clone(p.drains), func(d Drain) bool { return !known(inv, d) })
+	return Plan{drains: rest}
+}
+
 // Target reports whether a target takes no new work.
 func (p Plan) Target(inv *registrar.Inventory, t registrar.Target) bool {
 	return p.has(ScopeTarget, t.Name) || p.Zone(inv, t.Zone)
--- a/loader/check.go
+++ b/loader/check.go
@@ -73,8 +73,9 @@
 	k := s.Keys
 	c.choice("keys.stale", k.Stale, StaleRefuse, StaleServe)
 	c.duration("keys.bound", k.Bound, time.Second, time.Hour)
-	// The age of a contact reaches twice the wait of a watch while all is well.
-	least := 2*s.Platform.Watch + s.Platform.Timeout
+	// The age of a contact reaches twice the wait of a watch and a timeout while all is well. A
+	// contact counts as lost at half of the bound, so a healthy one has to stay below that half.
+	least := 2 * (2*s.Platform.Watch + s.Platform.Timeout)
 	if k.Bound < least {
 		c.fault("keys.bound", "%s clashes with platform.watch and platform.timeout; it must be "+
 			"at least %s", k.Bound.Std(), least.Std())
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -101,8 +101,8 @@
 		},
 		Keys: Keys{Stale: StaleRefuse, Bound: Duration(30 * time.Second)},
 		Work: Work{
-			Identities: 100000,
-			Answers:    8 * mebibyte,
+			Identities: 20000,
+			Answers:    4 * mebibyte,
 			Lifetime:   Duration(2 * time.Minute),
 		},
 		Drain: Drain{Limit: Duration(30 * time.Second)},
--- a/prober/prober.go
+++ b/prober/prober.go
@@ -119,6 +119,14 @@
 	Busy int `json:"busy"`
 }
 
+// status is a target's health endpoint's answer.
+type status struct {
+	State string `json:"state"`
+}
+
+// stateDraining is the state of a target that asks for no new work.
+const stateDraining = "draining"
+
 // probe reports nothing when the load endpoint cannot be read: no news is no report.
 func (p *Prober) probe(ctx context.Context, t registrar.Target) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -128,6 +136,10 @@
 		return
 	}
 	r := scheduler.Report{At: timer.Now(), Ready: health.Status == http.StatusOK}
+	var s status
+	if json.Unmarshal(health.Body, &s) == nil {
+		r.Draining = s.State == stateDraining
+	}
 	if answer, err := p.get(ctx, t, loadPath); err == nil {
 		var l load
 		if json.Unmarshal(answer.Body, &l) == nil {
--- a/prover/cut_test.go
+++ b/prover/cut_test.go
@@ -235,7 +235,36 @@
 	}
 	f.run("drain", "target", name, "--undo")
 	f.eventually("the target serves again", func() bool {
-		f.get(h, "/catalogue")
+		var wg sync.WaitGroup
+		for range 2 * f.spec.slots {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				f.get(h, "/catalogue")
+			}()
+		}
+		wg.Wait()
 		return f.runsOf(target).Total > before
 	})
 }
+
+// A target that reports a drain of its own gets no new work once the report has arrived.
+func TestTargetThatReportsADrainGetsNoNewWork(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	h := f.hosts[2]
+	target := f.targets[2]
+	f.behave(target, `{"draining":true}`)
+	f.eventually("the report has arrived", func() bool {
+		out, err := f.command("explain", "--admin", h.admin, "--service", service)
+		return err == nil && strings.Contains(out, "draining, 0 of")
+	})
+	before := f.runsOf(target).Total
+	for range 30 {
+		if a := f.get(h, "/catalogue"); a.status != http.StatusOK {
+			t.Fatalf("%+v", a)
+		}
+	}
+	if n := f.runsOf(target).Total; n != before {
+		t.Errorf("the draining target ran %d more requests", n-before)
+	}
+}
--- a/router/decide.go
+++ b/router/decide.go
@@ -41,6 +41,8 @@
 	switch {
 	case z.Draining:
 		return OmitDraining, false
+	case !z.Linked:
+		return OmitNoLink, false
 	case !z.Near && len(z.Hosts) == 0:
 		return OmitNoHost, false
 	case z.Load.fresh() && z.Load.Ready == 0:
--- a/router/decision.go
+++ b/router/decision.go
@@ -64,6 +64,8 @@
 	OmitNoHost OmissionReason = "no live host"
 	// OmitNoSlots is a zone whose targets are all unusable.
 	OmitNoSlots OmissionReason = "no usable targets"
+	// OmitNoLink is a zone of a region that the inventory lists no link to.
+	OmitNoLink OmissionReason = "no link"
 	// OmitDraining is a zone that is being drained.
 	OmitDraining OmissionReason = "draining"
 	// OmitAllotment is a zone to which this host has passed on all that it may at present.
--- a/router/state.go
+++ b/router/state.go
@@ -14,6 +14,9 @@
 	Hosts []string
 	// RTT is the round-trip time to the zone.
 	RTT time.Duration
+	// Linked says that the zone can be reached: it is near, of the own region, or the operators
+	// listed a link to its region.
+	Linked bool
 	// Draining says that the zone takes no new work.
 	Draining bool
 	// Weight is the zone's standing share of the service.
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -28,6 +28,8 @@
 	Ready bool
 	// Busy is the number of requests that the target says it runs.
 	Busy int
+	// Draining says that the target asks for no new work.
+	Draining bool
 }
 
 // State is a target's standing for new work.
@@ -74,7 +76,7 @@
 // that too few targets pass, reports don't count and ejections are short.
 func (t *target) state(now timer.Instant, doubted bool) State {
 	switch {
-	case t.draining || t.removed:
+	case t.draining || t.removed || t.reportedDraining(now):
 		return StateDraining
 	case t.failures >= t.cfg.EjectAfter && now.Before(t.ejectedUntil(doubted)):
 		return StateEjected
@@ -95,6 +97,11 @@
 	return t.until
 }
 
+// reportedDraining trusts a target that asks to be left alone, whatever its own results say.
+func (t *target) reportedDraining(now timer.Instant) bool {
+	return t.report != nil && now.Sub(t.report.At) < t.cfg.ReportAge && t.report.Draining
+}
+
 func (t *target) reportedUnready(now timer.Instant) bool {
 	return t.report != nil && now.Sub(t.report.At) < t.cfg.ReportAge && !t.report.Ready
 }
--- a/server/config.go
+++ b/server/config.go
@@ -14,10 +14,9 @@
 	AnswerBytes int
 	// Connections is the largest number of open connections.
 	Connections int
-	// Idle is the time after which a connection without a whole request is closed.
+	// Idle is the time after which a connection without a whole request, or with an answer that its
+	// caller does not take, is closed.
 	Idle time.Duration
-	// Busy is the longest time that one request may take, its answer's delivery included.
-	Busy time.Duration
 }
 
 const (
--- a/server/processor.go
+++ b/server/processor.go
@@ -82,9 +82,8 @@
 		p.fail(&fault{status: 429, reason: "too many pipelined requests"})
 		return
 	}
-	deadline := time.Now().Add(p.cfg.Busy)
-	_ = p.conn.raw.SetReadDeadline(deadline)
-	_ = p.conn.raw.SetWriteDeadline(deadline)
+	// The handler bounds its own time; the idle deadline must not cut a request that runs.
+	_ = p.conn.raw.SetDeadline(time.Time{})
 	p.ServerProcessor.OnComplete(parser)
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -216,4 +216,5 @@
 		return
 	}
 	s.handler.ServeHTTP(w, r.WithContext(c.ctx))
+	_ = c.raw.SetWriteDeadline(time.Now().Add(s.cfg.Idle))
 }
--- a/surveyor/view.go
+++ b/surveyor/view.go
@@ -47,10 +47,13 @@
 	own, _ := v.inv.Zone(v.surveyor.zone)
 	switch {
 	case out.Name == own.Name:
+		out.Linked = true
 	case out.Region == own.Region:
+		out.Linked = true
 		out.RTT = nearRTT
 	default:
-		link, _ := v.inv.Link(own.Region, out.Region)
+		link, ok := v.inv.Link(own.Region, out.Region)
+		out.Linked = ok || out.Near
 		out.RTT = link.RTT
 	}
 }
