--- a/assembler/host.go
+++ b/assembler/host.go
@@ -227,7 +227,8 @@
 }
 
 // sourceOf returns the IP number of the peer address, so that peers see this host's connections
-// come from the address that they know; a host that listens on all addresses lets the system choose.
+// come from the address that they know; a host that listens on all addresses lets the system
+// choose.
 func sourceOf(address string) string {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil || a.Addr().IsUnspecified() {
