router: let allotments grow from what is held

Cause: a host's allotment was its part of the free slots of the newest report, and that report already counts what the host itself runs there, so it was charged twice; a trip of 35 ms counted as a slot held. In the model the hot zone's callers were refused while other zones were free. Change: the allotment is what the host had in flight when the report was made plus its part of the free slots by Little's law; held without news, halved after a refusal. A wait counts twice a trip. Random order by room among zones of nearly equal delay; the own zone first among those.

--- a/router/decide.go
+++ b/router/decide.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Picker picks one of n entry hosts.
+// Picker picks one of n possibilities at random.
 type Picker interface {
 	IntN(n int) int
 }
@@ -18,7 +18,8 @@
 }
 
 // Decide orders the zones for a request. Prefer rules go first, then the expected delay: the trip
-// and the wait. Zones without a fresh report follow in the order of distance and standing weight.
+// and the wait. Among zones of nearly equal delay the own goes first and the others in random
+// order. Zones without a fresh report follow in the order of distance and standing weight.
 func Decide(region string, zones []Zone, p Picker) Decision {
 	var d Decision
 	candidates := make([]candidate, 0, len(zones))
@@ -31,6 +32,8 @@
 		candidates = append(candidates, assess(region, z))
 	}
 	slices.SortStableFunc(candidates, compare)
+	shuffle(candidates, p)
+	preferNear(candidates)
 	for _, c := range candidates[:min(len(candidates), maxChoices)] {
 		d.Choices = append(d.Choices, choose(c, p))
 	}
@@ -41,11 +44,13 @@
 	switch {
 	case z.Draining:
 		return OmitDraining, false
-	case !z.Near && len(z.Hosts) == 0:
-		return OmitNoHost, false
 	case z.Load.fresh() && z.Load.Ready == 0:
 		return OmitNoSlots, false
-	case !z.Near && z.Load.fresh() && z.InFlight >= z.allotment():
+	case z.Near:
+		return "", true
+	case len(z.Hosts) == 0:
+		return OmitNoHost, false
+	case z.room() <= 0:
 		return OmitAllotment, false
 	default:
 		return "", true
@@ -59,7 +64,7 @@
 		c.rule = RulePrefer
 	case z.Near:
 		c.rule = RuleNear
-	case !z.Load.fresh():
+	case !z.known():
 		c.rule = RuleStanding
 	case z.Region == region:
 		c.rule = RuleRegion
@@ -72,27 +77,31 @@
 	return c
 }
 
-// compare puts preferred regions first, zones with fresh reports before others, then the lower
+// compare puts preferred regions first, zones whose state is known before others, then the lower
 // delay, then the larger standing weight.
 func compare(a, b candidate) int {
-	if by := rank(a.zone) - rank(b.zone); by != 0 {
+	if by := compareGroup(a, b); by != 0 {
 		return by
 	}
-	if a.known() != b.known() {
-		if a.known() {
-			return -1
-		}
-		return 1
-	}
 	if a.delay != b.delay {
 		return int(a.delay - b.delay)
 	}
 	return b.zone.Weight - a.zone.Weight
 }
 
-// known reports whether the zone's state is known: by a fresh report, or because it is near.
-func (c candidate) known() bool {
-	return c.zone.Near || c.zone.Load.fresh()
+// compareGroup orders what no delay outweighs.
+func compareGroup(a, b candidate) int {
+	if by := rank(a.zone) - rank(b.zone); by != 0 {
+		return by
+	}
+	switch {
+	case a.zone.known() == b.zone.known():
+		return 0
+	case a.zone.known():
+		return -1
+	default:
+		return 1
+	}
 }
 
 func rank(z Zone) int {
@@ -105,6 +114,57 @@
 // unranked puts zones that no rule prefers behind all others.
 const unranked = 1 << 20
 
+// shuffle puts the known remote zones whose delays are nearly equal to the best one's in random
+// order, by the room in them, so that hosts with the same report do not all choose the same zone.
+func shuffle(candidates []candidate, p Picker) {
+	first := slices.IndexFunc(candidates, func(c candidate) bool { return !c.zone.Near })
+	if first < 0 || !candidates[first].zone.known() {
+		return
+	}
+	rest := candidates[first:]
+	n := 1
+	for n < len(rest) && nearlyEqual(rest[0], rest[n]) {
+		n++
+	}
+	for i := range min(n-1, maxChoices) {
+		j := i + pick(rest[i:n], p)
+		rest[i], rest[j] = rest[j], rest[i]
+	}
+}
+
+func nearlyEqual(a, b candidate) bool {
+	return !b.zone.Near && compareGroup(a, b) == 0 && b.delay-a.delay <= nearEqual
+}
+
+// pick picks a candidate with a probability in proportion to its room.
+func pick(candidates []candidate, p Picker) int {
+	sum := 0
+	for _, c := range candidates {
+		sum += c.zone.room()
+	}
+	n := p.IntN(sum)
+	for i, c := range candidates {
+		n -= c.zone.room()
+		if n < 0 {
+			return i
+		}
+	}
+	return 0
+}
+
+// preferNear moves the own zone before zones that are better by a small difference only.
+func preferNear(candidates []candidate) {
+	near := slices.IndexFunc(candidates, func(c candidate) bool { return c.zone.Near })
+	for ; near > 0; near-- {
+		before := candidates[near-1]
+		own := candidates[near]
+		if compareGroup(before, own) != 0 || own.delay-before.delay > nearEqual {
+			return
+		}
+		candidates[near-1], candidates[near] = own, before
+	}
+}
+
 func choose(c candidate, p Picker) Choice {
 	choice := Choice{Zone: c.zone.Name, Region: c.zone.Region, Rule: c.rule, Delay: c.delay}
 	if !c.zone.Near {
--- a/router/state.go
+++ b/router/state.go
@@ -24,6 +24,10 @@
 	Load Load
 	// InFlight is the number of requests that this host has passed to the zone.
 	InFlight int
+	// Held is the number of those when the zone's report was made.
+	Held int
+	// Refused says that the zone refused a request of this host after its report was made.
+	Refused bool
 	// Senders is the number of live hosts that may pass requests to the zone.
 	Senders int
 }
@@ -51,6 +55,10 @@
 	maxChoices = 3
 	// minAllotment lets each host probe a zone whose report shows no room.
 	minAllotment = 1
+	// nearEqual is the difference in expected delay that is no reason to prefer a zone.
+	nearEqual = 5 * time.Millisecond
+	// waitCost counts a wait more than a trip, since whoever waits also delays those behind.
+	waitCost = 2
 	// assumedService stands for the service time of zones that report none.
 	assumedService = 10 * time.Millisecond
 )
@@ -60,25 +68,56 @@
 	return l.Known && l.Age <= MaxReportAge
 }
 
-// delay returns the expected wait for a slot, from the queue ahead and the service time.
+// delay returns the cost of the expected wait for a slot.
 func (l Load) delay() time.Duration {
 	if l.Ready == 0 {
 		return 0
 	}
-	service := l.Service
-	if service == 0 {
-		service = assumedService
-	}
 	ahead := l.Busy + l.Queued + 1 - l.Ready
 	if ahead <= 0 {
 		return 0
 	}
-	return time.Duration(ahead) * service / time.Duration(l.Ready)
+	return waitCost * time.Duration(ahead) * l.service() / time.Duration(l.Ready)
+}
+
+// service is the mean time that a request holds a slot.
+func (l Load) service() time.Duration {
+	if l.Service == 0 {
+		return assumedService
+	}
+	return l.Service
+}
+
+// free is the number of slots that neither run nor are waited for.
+func (l Load) free() int {
+	return l.Ready - l.Busy - l.Queued
 }
 
-// allotment is this host's part of the zone's free slots, so that all senders together, who act on
-// the same report, do not exceed them.
+// allotment is the number of requests that this host may have in flight to the zone. It is what
+// the host had there when the report was made and its part of the slots that were free then, so
+// that all senders together, who act on the same report, do not exceed them. Without news it is
+// what the host had when there was news, and after a refusal half of that.
 func (z Zone) allotment() int {
-	free := z.Load.Ready - z.Load.Busy - z.Load.Queued
-	return max(free/max(z.Senders, 1), minAllotment)
+	switch {
+	case z.Refused:
+		return max(z.Held/2, minAllotment)
+	case !z.Load.fresh():
+		return max(z.Held, minAllotment)
+	}
+	part := z.Load.free() * int(z.RTT+z.Load.service()) / int(z.Load.service()) / max(z.Senders, 1)
+	if z.Load.free() > 0 {
+		part = max(part, minAllotment)
+	}
+	return max(z.Held+part, minAllotment)
+}
+
+// room is the number of requests that this host may pass to the zone now.
+func (z Zone) room() int {
+	return z.allotment() - z.InFlight
+}
+
+// known reports whether the zone's state is known: because it is near, or by a fresh report that
+// no refusal contradicts.
+func (z Zone) known() bool {
+	return z.Near || z.Load.fresh() && !z.Refused
 }
