surveyor: keep what is gathered for 100 ms, show the mate's part

Cause: each request gathered all peers' reports anew; the slots of the own zone that its second host holds were never offered; a zone's refusals did not outweigh its report, and requests in flight were counted for all services of a zone together. Ruled out: counting a deadline's refusal as a full zone (one caller with short deadlines would close the zone to others). Change: Survey gathers once per 100 ms for each kind of request and refreshes ages, own slots and flights each time; Begin and End take the instant, and End whether the zone was full; flights are counted by service and zone.

--- a/carrier/outcome.go
+++ b/carrier/outcome.go
@@ -80,6 +80,20 @@
 	return Result{Outcome: messenger.Outcome_OUTCOME_UNKNOWN, Status: status, Reason: reason}
 }
 
+// refused reports whether the request was not run for want of room or of a usable target. A
+// deadline does not count: it may have been too short for any zone.
+func (r Result) refused() bool {
+	if r.Outcome != messenger.Outcome_OUTCOME_NOT_RUN {
+		return false
+	}
+	switch r.Reason {
+	case ReasonCapacity, ReasonTarget, ReasonPeer, ReasonNotReady:
+		return true
+	default:
+		return false
+	}
+}
+
 // WithOutcome returns the result with another outcome.
 func (r Result) WithOutcome(o messenger.Outcome) Result {
 	r.Outcome = o
--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -47,9 +47,10 @@
 	Route(now timer.Instant, q router.Query) router.Decision
 	// Begin takes a request that is to be passed to another zone out of the caps on shifts and
 	// links; it reports false when one of them is used up.
-	Begin(service string, choice router.Choice, bytes int64) bool
-	// End tells that the request that Begin counted has ended.
-	End(choice router.Choice)
+	Begin(now timer.Instant, service string, choice router.Choice, bytes int64) bool
+	// End tells that the request that Begin counted has ended, and whether the zone had no room
+	// for it.
+	End(now timer.Instant, service string, choice router.Choice, refused bool)
 	// Reply waits until the link to another region has room for an answer.
 	Reply(ctx context.Context, zone string, bytes int64) error
 }
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -60,12 +60,13 @@
 	if choice.Host == "" {
 		return c.runNear(ctx, w, choice.Zone)
 	}
-	if !c.parts.Router.Begin(w.Service, choice, int64(len(w.Body))) {
+	if !c.parts.Router.Begin(c.now(), w.Service, choice, int64(len(w.Body))) {
 		return notRun(http.StatusServiceUnavailable, ReasonCap)
 	}
-	defer c.parts.Router.End(choice)
 	w.Zone = choice.Zone
-	return c.pass(ctx, w, choice.Host, messenger.Role_ROLE_CARRY)
+	r := c.pass(ctx, w, choice.Host, messenger.Role_ROLE_CARRY)
+	c.parts.Router.End(c.now(), w.Service, choice, r.refused())
+	return r
 }
 
 // runNear runs the request on a target that this host holds slots of.
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 
@@ -26,3 +27,14 @@
 		t.Fatalf("wrote %s", b.String())
 	}
 }
+
+// BenchmarkLog writes the line of one routing decision.
+func BenchmarkLog(b *testing.B) {
+	l := New(io.Discard, FormatJSON, log.InfoLevel).With(F("host", "a"))
+	e := Event{Number: 1100, Name: "request routed", Level: log.InfoLevel}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.Log(e, F("request", "4f1c"), F("customer", "mill-a"), F("service", "saleroom"),
+			F("zone", "ecape-a"), F("host", "h"), F("rule", "near"), F("try", 0))
+	}
+}
--- a/router/measure_test.go
+++ b/router/measure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -40,3 +41,21 @@
 		}
 	}
 }
+
+func BenchmarkDecide(b *testing.B) {
+	for _, n := range []int{6, 92} {
+		var zones []Zone
+		for i := range n {
+			zones = append(zones, Zone{
+				Name: zoneName(i), Region: regionName(i), Near: i == 0, RTT: time.Duration(i) * time.Millisecond, Senders: 7,
+				Hosts: []string{"h"}, Load: Load{Known: true, Ready: 30, Busy: 20, Service: modelMean},
+			})
+		}
+		b.Run(fmt.Sprint(n, " zones"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Decide("r0", zones, rand.New(rand.NewPCG(1, 1)))
+			}
+		})
+	}
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -53,8 +53,15 @@
 	members Members
 	limiter Limiter
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	mu      sync.Mutex
+	flights map[site]*router.Flight
+	surveys map[router.Query]survey
+}
+
+// site is a service in an availability zone.
+type site struct {
+	service string
+	zone    string
 }
 
 // New returns a surveyor for a host of an availability zone.
@@ -62,13 +69,14 @@
 	host, zone string, cfg Configuration, s Slots, m Members, l Limiter,
 ) *Surveyor {
 	return &Surveyor{
-		host:     host,
-		zone:     zone,
-		cfg:      cfg,
-		slots:    s,
-		members:  m,
-		limiter:  l,
-		inFlight: make(map[string]int),
+		host:    host,
+		zone:    zone,
+		cfg:     cfg,
+		slots:   s,
+		members: m,
+		limiter: l,
+		flights: make(map[site]*router.Flight),
+		surveys: make(map[router.Query]survey),
 	}
 }
 
@@ -96,6 +104,19 @@
 	if inv == nil {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.surveys[q]
+	if kept.inv != inv || now.Sub(kept.at) >= surveyPeriod {
+		kept = survey{at: now, inv: inv, zones: s.gather(now, inv, q)}
+		s.keep(q, kept)
+	}
+	return s.refresh(now, q, kept)
+}
+
+func (s *Surveyor) gather(
+	now timer.Instant, inv *registrar.Inventory, q router.Query,
+) []router.Zone {
 	v := &view{
 		surveyor: s,
 		inv:      inv,
@@ -107,28 +128,44 @@
 	var zones []router.Zone
 	for _, z := range inv.Zones() {
 		if len(inv.TargetsIn(q.Service, z.Name)) > 0 {
-			zones = append(zones, v.zone(z))
+			zones = v.add(zones, z)
 		}
 	}
 	return zones
 }
 
 // Begin takes a request out of the caps on shifts and links and counts it in.
-func (s *Surveyor) Begin(service string, choice router.Choice, bytes int64) bool {
+func (s *Surveyor) Begin(
+	now timer.Instant, service string, choice router.Choice, bytes int64,
+) bool {
 	if !s.charge(service, choice.Region, bytes) {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[choice.Zone]++
+	s.flight(service, choice.Zone).Begin(now)
 	return true
 }
 
-// End counts a request out.
-func (s *Surveyor) End(choice router.Choice) {
+// End counts a request out; refused says that the zone had no room for it.
+func (s *Surveyor) End(now timer.Instant, service string, choice router.Choice, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[choice.Zone]--
+	f := s.flight(service, choice.Zone)
+	f.End(now)
+	if refused {
+		f.Refuse(now)
+	}
+}
+
+func (s *Surveyor) flight(service, zone string) *router.Flight {
+	at := site{service: service, zone: zone}
+	f := s.flights[at]
+	if f == nil {
+		f = &router.Flight{}
+		s.flights[at] = f
+	}
+	return f
 }
 
 func (s *Surveyor) charge(service, region string, bytes int64) bool {
--- a/surveyor/view.go
+++ b/surveyor/view.go
@@ -18,28 +18,36 @@
 	rules    rules
 }
 
+// add adds a zone, and once more for those of its slots that other hosts hold where this host
+// holds some.
+func (v *view) add(zones []router.Zone, z registrar.Zone) []router.Zone {
+	remote := v.zone(z)
+	remote.Load, remote.Hosts = loadOf(z.Name, v.query.Service, v.members)
+	if slices.Contains(v.near, z.Name) {
+		near := v.zone(z)
+		near.Near = true
+		zones = append(zones, near)
+		if len(remote.Hosts) == 0 {
+			return zones
+		}
+		remote.RTT = max(remote.RTT, nearRTT)
+	}
+	if !remote.Load.Known {
+		remote.Hosts = v.standingHosts(z.Name)
+	}
+	return append(zones, remote)
+}
+
 func (v *view) zone(z registrar.Zone) router.Zone {
 	out := router.Zone{
 		Name:     z.Name,
 		Region:   z.Region,
-		Near:     slices.Contains(v.near, z.Name),
 		Draining: v.surveyor.cfg.DrainsZone(z.Name),
 		Weight:   v.rules.weight(z.Name),
 		Rank:     v.rules.rank(z.Region),
 		Senders:  v.senders(),
 	}
 	v.locate(&out)
-	if out.Near {
-		out.Load = v.nearLoad(z.Name)
-		return out
-	}
-	out.Load, out.Hosts = loadOf(z.Name, v.query.Service, v.members)
-	if !out.Load.Known {
-		out.Hosts = v.standingHosts(z.Name)
-	}
-	v.surveyor.mu.Lock()
-	out.InFlight = v.surveyor.inFlight[z.Name]
-	v.surveyor.mu.Unlock()
 	return out
 }
 
@@ -55,22 +63,6 @@
 	}
 }
 
-func (v *view) nearLoad(zone string) router.Load {
-	for _, l := range v.surveyor.slots.Loads(zone) {
-		if l.Service != v.query.Service {
-			continue
-		}
-		return router.Load{
-			Known:   true,
-			Ready:   l.Ready,
-			Busy:    l.Busy,
-			Queued:  l.Queued,
-			Service: l.Took,
-		}
-	}
-	return router.Load{}
-}
-
 // standingHosts returns the zone's own entry hosts that are not known to have ended.
 func (v *view) standingHosts(zone string) []string {
 	var hosts []string
