surveyor: index peers' reports, take sums of far zones

Cause: each zone of a survey walked all members twice; zones that are heard only through their speakers had no load at all, so a large fleet would have routed by the standing order. Change: reports are indexed by service and zone once per 100 ms for all requests; a zone without direct reports takes its detector.ZoneView sum. Ruled out: nothing else was tried.

--- /dev/null
+++ b/surveyor/reports.go
@@ -0,0 +1,119 @@
+package surveyor
+
+import (
+	"time"
+
+	"github.com/fescuethread/fescuethread/detector"
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/router"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// reports are the peers' reports at one instant, by service and zone.
+type reports struct {
+	at timer.Instant
+	// sites are the reports of hosts that are heard directly.
+	sites map[site]*siteReport
+	// sums are the reports of whole zones, whose hosts are not heard directly.
+	sums map[site]router.Load
+	// hosts are each zone's own hosts that are not known to have ended.
+	hosts   map[string][]string
+	senders int
+}
+
+// siteReport is what the hosts report that hold slots of a service in a zone.
+type siteReport struct {
+	load  router.Load
+	hosts []string
+}
+
+func newReports(now timer.Instant, m Members) *reports {
+	r := &reports{
+		at:      now,
+		sites:   make(map[site]*siteReport),
+		sums:    make(map[site]router.Load),
+		hosts:   make(map[string][]string),
+		senders: 1,
+	}
+	for _, v := range m.Members(now) {
+		r.addMember(v)
+	}
+	for _, z := range m.Zones(now) {
+		r.addZone(z)
+	}
+	return r
+}
+
+func (r *reports) addMember(m detector.MemberView) {
+	switch m.State {
+	case detector.StateDead, detector.StateLeft, detector.StateLeaving:
+		return
+	case detector.StateLive, detector.StateSuspect:
+		r.senders++
+	}
+	r.hosts[m.Host.Zone] = append(r.hosts[m.Host.Zone], m.Host.Name)
+	if m.State != detector.StateLive {
+		return
+	}
+	for _, l := range m.Loads {
+		if l.GetSlots() > 0 {
+			r.addLoad(m, l)
+		}
+	}
+}
+
+func (r *reports) addLoad(m detector.MemberView, l *messenger.Load) {
+	at := siteOf(m.Host.Zone, l)
+	known := r.sites[at]
+	if known == nil {
+		known = &siteReport{}
+		r.sites[at] = known
+	}
+	known.load = addLoad(known.load, l, m.Age)
+	known.hosts = append(known.hosts, m.Host.Name)
+}
+
+func (r *reports) addZone(z detector.ZoneView) {
+	if z.State != detector.StateLive {
+		return
+	}
+	for _, l := range z.Loads {
+		at := siteOf(z.Name, l)
+		r.sums[at] = addLoad(r.sums[at], l, z.Age)
+	}
+}
+
+// siteOf is the zone whose slots the load is of: the one it names, or the reporter's own.
+func siteOf(zone string, l *messenger.Load) site {
+	if l.GetAz() != "" {
+		zone = l.GetAz()
+	}
+	return site{service: l.GetService(), zone: zone}
+}
+
+// of returns the report of a site, as old as it is by then, and the hosts to pass requests to.
+func (r *reports) of(at site, age time.Duration) (router.Load, []string) {
+	if known := r.sites[at]; known != nil {
+		return aged(known.load, age), known.hosts
+	}
+	if sum, ok := r.sums[at]; ok && len(r.hosts[at.zone]) > 0 {
+		return aged(sum, age), r.hosts[at.zone]
+	}
+	return router.Load{}, r.hosts[at.zone]
+}
+
+func aged(l router.Load, by time.Duration) router.Load {
+	l.Age += by
+	return l
+}
+
+func addLoad(sum router.Load, l *messenger.Load, age time.Duration) router.Load {
+	return router.Load{
+		Known:   true,
+		Age:     max(sum.Age, age),
+		Ready:   sum.Ready + int(l.GetReady()),
+		Busy:    sum.Busy + int(l.GetBusy()),
+		Queued:  sum.Queued + int(l.GetQueued()),
+		Service: max(sum.Service, time.Duration(l.GetTook())*time.Microsecond),
+	}
+}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -8,7 +8,6 @@
 
 	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/limiter"
-	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/router"
 	"github.com/fescuethread/fescuethread/scheduler"
@@ -36,7 +35,10 @@
 
 // Members tells what other hosts report.
 type Members interface {
+	// Members returns what is known of each other host.
 	Members(now timer.Instant) []detector.MemberView
+	// Zones returns what is known of each availability zone.
+	Zones(now timer.Instant) []detector.ZoneView
 }
 
 // Limiter admits units of an account.
@@ -56,6 +58,7 @@
 	mu      sync.Mutex
 	flights map[site]*router.Flight
 	surveys map[router.Query]survey
+	reports *reports
 }
 
 // site is a service in an availability zone.
@@ -77,6 +80,7 @@
 		limiter: l,
 		flights: make(map[site]*router.Flight),
 		surveys: make(map[router.Query]survey),
+		reports: &reports{},
 	}
 }
 
@@ -117,11 +121,17 @@
 func (s *Surveyor) gather(
 	now timer.Instant, inv *registrar.Inventory, q router.Query,
 ) []router.Zone {
+	if s.reports.at == 0 || now.Sub(s.reports.at) >= surveyPeriod {
+		s.reports = newReports(now, s.members)
+	}
+	own, _ := inv.Zone(s.zone)
 	v := &view{
 		surveyor: s,
 		inv:      inv,
 		query:    q,
-		members:  s.members.Members(now),
+		own:      own,
+		reports:  s.reports,
+		age:      now.Sub(s.reports.at),
 		near:     s.slots.Near(),
 		rules:    findRules(inv, q),
 	}
@@ -238,40 +248,3 @@
 func CapAccount(r registrar.Rule) string {
 	return "cap/" + r.Service + "/" + r.From + "/" + r.To
 }
-
-// loadOf adds up the reports of the hosts that hold slots of a zone.
-func loadOf(zone, service string, members []detector.MemberView) (router.Load, []string) {
-	var sum router.Load
-	var hosts []string
-	for _, m := range members {
-		if m.State != detector.StateLive {
-			continue
-		}
-		for _, l := range m.Loads {
-			if l.GetService() != service || zoneOf(m, l) != zone || l.GetSlots() == 0 {
-				continue
-			}
-			sum = addLoad(sum, l, m.Age)
-			hosts = append(hosts, m.Host.Name)
-		}
-	}
-	return sum, hosts
-}
-
-func zoneOf(m detector.MemberView, l *messenger.Load) string {
-	if l.GetAz() != "" {
-		return l.GetAz()
-	}
-	return m.Host.Zone
-}
-
-func addLoad(sum router.Load, l *messenger.Load, age time.Duration) router.Load {
-	return router.Load{
-		Known:   true,
-		Age:     max(sum.Age, age),
-		Ready:   sum.Ready + int(l.GetReady()),
-		Busy:    sum.Busy + int(l.GetBusy()),
-		Queued:  sum.Queued + int(l.GetQueued()),
-		Service: max(sum.Service, time.Duration(l.GetTook())*time.Microsecond),
-	}
-}
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -19,6 +19,7 @@
 type fleet struct {
 	inv     *registrar.Inventory
 	members []detector.MemberView
+	zones   []detector.ZoneView
 	slots   *scheduler.Scheduler
 }
 
@@ -27,6 +28,7 @@
 func (f *fleet) Near() []string                              { return []string{"z0"} }
 func (f *fleet) Loads(string) []scheduler.Load               { return f.slots.Loads(1) }
 func (f *fleet) Members(timer.Instant) []detector.MemberView { return f.members }
+func (f *fleet) Zones(timer.Instant) []detector.ZoneView     { return f.zones }
 func (f *fleet) Admit(string, int64) (d limiter.Decision)    { return d }
 
 func newFleet(tb testing.TB, zones, hosts int) (*fleet, *Surveyor) {
@@ -81,6 +83,19 @@
 	}
 }
 
+func TestSurveyTakesSumsOfZonesThatAreHeardThroughSpeakers(t *testing.T) {
+	f, s := newFleet(t, 6, 12)
+	for i := range f.members {
+		f.members[i].Loads = nil
+	}
+	f.zones = []detector.ZoneView{{Name: "z3", State: detector.StateLive, Age: time.Second,
+		Loads: []*messenger.Load{{Service: "s", Slots: 36, Ready: 30, Busy: 9}}}}
+	z := s.Survey(1, router.Query{Service: "s"})[3]
+	if z.Load.Ready != 30 || z.Load.Age != time.Second || len(z.Hosts) != 2 {
+		t.Fatalf("%+v", z)
+	}
+}
+
 func TestKeptSurveyAgesAndCounts(t *testing.T) {
 	f, s := newFleet(t, 6, 12)
 	q := router.Query{Service: "s"}
--- a/surveyor/view.go
+++ b/surveyor/view.go
@@ -2,8 +2,8 @@
 
 import (
 	"slices"
+	"time"
 
-	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/router"
 )
@@ -13,7 +13,9 @@
 	surveyor *Surveyor
 	inv      *registrar.Inventory
 	query    router.Query
-	members  []detector.MemberView
+	own      registrar.Zone
+	reports  *reports
+	age      time.Duration
 	near     []string
 	rules    rules
 }
@@ -22,22 +24,26 @@
 // holds some.
 func (v *view) add(zones []router.Zone, z registrar.Zone) []router.Zone {
 	remote := v.zone(z)
-	remote.Load, remote.Hosts = loadOf(z.Name, v.query.Service, v.members)
-	if slices.Contains(v.near, z.Name) {
-		near := v.zone(z)
-		near.Near = true
-		zones = append(zones, near)
-		if len(remote.Hosts) == 0 {
-			return zones
-		}
-		remote.RTT = max(remote.RTT, nearRTT)
+	if !slices.Contains(v.near, z.Name) {
+		remote.Load, remote.Hosts = v.reports.of(v.site(z), v.age)
+		return append(zones, remote)
 	}
-	if !remote.Load.Known {
-		remote.Hosts = v.standingHosts(z.Name)
+	near := v.zone(z)
+	near.Near = true
+	zones = append(zones, near)
+	mates := v.reports.sites[v.site(z)]
+	if mates == nil {
+		return zones
 	}
+	remote.RTT = max(remote.RTT, nearRTT)
+	remote.Load, remote.Hosts = aged(mates.load, v.age), mates.hosts
 	return append(zones, remote)
 }
 
+func (v *view) site(z registrar.Zone) site {
+	return site{service: v.query.Service, zone: z.Name}
+}
+
 func (v *view) zone(z registrar.Zone) router.Zone {
 	out := router.Zone{
 		Name:     z.Name,
@@ -45,50 +51,23 @@
 		Draining: v.surveyor.cfg.DrainsZone(z.Name),
 		Weight:   v.rules.weight(z.Name),
 		Rank:     v.rules.rank(z.Region),
-		Senders:  v.senders(),
+		Senders:  v.reports.senders,
 	}
 	v.locate(&out)
 	return out
 }
 
 func (v *view) locate(out *router.Zone) {
-	own, _ := v.inv.Zone(v.surveyor.zone)
 	switch {
-	case out.Name == own.Name:
-	case out.Region == own.Region:
+	case out.Name == v.own.Name:
+	case out.Region == v.own.Region:
 		out.RTT = nearRTT
 	default:
-		link, _ := v.inv.Link(own.Region, out.Region)
+		link, _ := v.inv.Link(v.own.Region, out.Region)
 		out.RTT = link.RTT
 	}
 }
 
-// standingHosts returns the zone's own entry hosts that are not known to have ended.
-func (v *view) standingHosts(zone string) []string {
-	var hosts []string
-	for _, m := range v.members {
-		if m.Host.Zone != zone {
-			continue
-		}
-		switch m.State {
-		case detector.StateDead, detector.StateLeft, detector.StateLeaving:
-		default:
-			hosts = append(hosts, m.Host.Name)
-		}
-	}
-	return hosts
-}
-
-func (v *view) senders() int {
-	n := 1
-	for _, m := range v.members {
-		if m.State == detector.StateLive || m.State == detector.StateSuspect {
-			n++
-		}
-	}
-	return n
-}
-
 // rules are the operators' rules that concern one request.
 type rules struct {
 	order   []string
