router: sort candidates by reference

Cause: Decide copied each zone's state several times while it sorted. Change: a candidate refers to its zone.

--- a/router/decide.go
+++ b/router/decide.go
@@ -12,7 +12,7 @@
 
 // candidate is a zone that may be tried.
 type candidate struct {
-	zone  Zone
+	zone  *Zone
 	rule  Rule
 	delay time.Duration
 }
@@ -23,7 +23,8 @@
 func Decide(region string, zones []Zone, p Picker) Decision {
 	var d Decision
 	candidates := make([]candidate, 0, len(zones))
-	for _, z := range zones {
+	for i := range zones {
+		z := &zones[i]
 		reason, ok := usable(z)
 		if !ok {
 			d.Passed = append(d.Passed, Omission{Zone: z.Name, Reason: reason})
@@ -40,7 +41,7 @@
 	return d
 }
 
-func usable(z Zone) (OmissionReason, bool) {
+func usable(z *Zone) (OmissionReason, bool) {
 	switch {
 	case z.Draining:
 		return OmitDraining, false
@@ -57,7 +58,7 @@
 	}
 }
 
-func assess(region string, z Zone) candidate {
+func assess(region string, z *Zone) candidate {
 	c := candidate{zone: z, delay: z.RTT}
 	switch {
 	case z.Rank > 0:
@@ -104,7 +105,7 @@
 	}
 }
 
-func rank(z Zone) int {
+func rank(z *Zone) int {
 	if z.Rank == 0 {
 		return unranked
 	}
--- a/router/measure_test.go
+++ b/router/measure_test.go
@@ -52,9 +52,10 @@
 			})
 		}
 		b.Run(fmt.Sprint(n, " zones"), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 1))
 			b.ReportAllocs()
 			for b.Loop() {
-				Decide("r0", zones, rand.New(rand.NewPCG(1, 1)))
+				Decide("r0", zones, rng)
 			}
 		})
 	}
--- a/router/state.go
+++ b/router/state.go
@@ -97,7 +97,7 @@
 // the host had there when the report was made and its part of the slots that were free then, so
 // that all senders together, who act on the same report, do not exceed them. Without news it is
 // what the host had when there was news, and after a refusal half of that.
-func (z Zone) allotment() int {
+func (z *Zone) allotment() int {
 	switch {
 	case z.Refused:
 		return max(z.Held/2, minAllotment)
@@ -112,12 +112,12 @@
 }
 
 // room is the number of requests that this host may pass to the zone now.
-func (z Zone) room() int {
+func (z *Zone) room() int {
 	return z.allotment() - z.InFlight
 }
 
 // known reports whether the zone's state is known: because it is near, or by a fresh report that
 // no refusal contradicts.
-func (z Zone) known() bool {
+func (z *Zone) known() bool {
 	return z.Near || z.Load.fresh() && !z.Refused
 }
