arbiter: state the casting vote once, show it in explain

Cause: explain held texts of its own on what decides between signals that disagree; they agreed with the deciding code by care only, and zones had no verdict. Ruled out: calling Vote from detector.judge and scheduler.target.state: they return finer states than a claim. Change: arbiter.Vote over signals of ranked sources; detector, scheduler, router and authenticator give their evidence as signals; explain shows deciding, overruled, old and doubted signals for zones, hosts, targets and keys. The floor of half a set stands once. Before: no test tied explain to the decisions. After: TestVerdictsAgree... in the four packages, 2,000 checks each, pass with -race.

--- a/assembler/source.go
+++ b/assembler/source.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/url"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -111,10 +110,11 @@
 		return reporter.Explanation{}, errors.Errorf("the inventory names no service %q", q.Service)
 	}
 	e := reporter.Explanation{Service: q.Service, Customer: q.Customer}
-	for _, z := range h.surveyor.Survey(now, q) {
+	zones := h.surveyor.Survey(now, q)
+	for _, z := range zones {
 		e.Signals = append(e.Signals, toSignal(z))
 	}
-	e.Verdicts = h.verdicts(now, q.Service)
+	e.Verdicts = h.verdicts(now, q.Service, zones)
 	d := h.surveyor.Route(now, q)
 	for _, c := range d.Choices {
 		e.Choices = append(e.Choices, reporter.Choice{
@@ -144,28 +144,3 @@
 	}
 	return s
 }
-
-// verdicts returns what the standing rules conclude on hosts, targets and keys.
-func (h *Host) verdicts(now timer.Instant, service string) []reporter.Verdict {
-	var verdicts []reporter.Verdict
-	for _, m := range h.detector.Members(now) {
-		verdicts = append(verdicts, reporter.Verdict{
-			Subject: m.Host.Name,
-			Signals: []string{"last heartbeat " + m.Age.Round(time.Millisecond).String() + " ago"},
-			Rule:    m.Reason,
-			Outcome: m.State.String(),
-		})
-	}
-	for _, zone := range h.granter.Near() {
-		for _, s := range h.granter.Standings(zone, service) {
-			verdicts = append(verdicts, h.targetVerdict(s))
-		}
-	}
-	keys := h.keys.judge(now)
-	return append(verdicts, reporter.Verdict{
-		Subject: "keys",
-		Signals: []string{"newest proof " + keys.Age.Round(time.Millisecond).String() + " ago"},
-		Rule:    keys.Reason,
-		Outcome: strings.TrimSpace(string(keys.Freshness)),
-	})
-}
--- a/authenticator/freshness_test.go
+++ b/authenticator/freshness_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/fescuethread/fescuethread/arbiter"
 )
 
 var policy = Policy{Bound: DefaultBound, Stale: StaleRefuse}
@@ -56,6 +58,17 @@
 	})
 }
 
+func TestVerdictsAgreeWithDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Policy{Bound: policy.Bound, Stale: rapid.SampledFrom([]Stale{StaleRefuse, StaleServe}).Draw(t, "stale")}
+		d := p.Decide(drawEvidence(t, zoneNames))
+		v := arbiter.Vote("keys", p.Signals(d))
+		if d.Keyed != (v.Claim == arbiter.ClaimUse) {
+			t.Fatalf("%+v, but the vote is %+v", d, v)
+		}
+	})
+}
+
 func TestFreshIsMonotone(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := drawEvidence(t, zoneNames)
--- a/router/decide.go
+++ b/router/decide.go
@@ -45,7 +45,7 @@
 	switch {
 	case z.Draining:
 		return OmitDraining, false
-	case z.Load.fresh() && z.Load.Ready == 0:
+	case z.known() && z.Load.fresh() && z.Load.Ready == 0:
 		return OmitNoSlots, false
 	case z.Near:
 		return "", true
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -27,9 +27,6 @@
 	// maxAlone bounds the work of a service that waits to run alone.
 	maxAlone = 8
 
-	// floorPercent is the part of a service's targets that must pass their health rule; below
-	// it the measurement is doubted.
-	floorPercent = 50
 	// marginPercent is added to estimates that are held against a deadline.
 	marginPercent = 25
 )
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fescuethread/fescuethread/arbiter"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -206,7 +207,7 @@
 		}
 		all++
 	}
-	return ready*100 < all*floorPercent
+	return arbiter.Doubts(ready, all)
 }
 
 func (p *pool) capacity(now timer.Instant) int {
@@ -306,6 +307,7 @@
 			Own:      t.own,
 			Report:   t.report,
 			Doubted:  doubted,
+			Signals:  t.signals(now, doubted),
 		})
 	}
 	return list
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/fescuethread/fescuethread/arbiter"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -54,6 +55,8 @@
 	Report *Report
 	// Doubted says that too few targets pass, so that health counts less.
 	Doubted bool
+	// Signals are the same signals as evidence for the arbiter, whose vote agrees with State.
+	Signals []arbiter.Signal
 }
 
 // New returns a scheduler that holds all slots of no targets.
