router: count only hosts that are short as senders, ramp shifts

Cause: free slots were divided by all live hosts, though only those whose own slots are short pass requests on; a region's loss was taken over too slowly. Once that was mended, a shift into cold caches (runs three times as long at first) filled the survivors' queues. Change: Senders counts this host and those whose reports show a tenth or less of their slots free, or nothing. In a zone of another region a host's requests in flight grow from 8 and at most double from one report to the next.

--- a/router/decide_test.go
+++ b/router/decide_test.go
@@ -24,6 +24,7 @@
 		InFlight: rapid.IntRange(0, 9).Draw(t, "in flight"),
 		Held:     rapid.IntRange(0, 9).Draw(t, "held"),
 		Refused:  rapid.Bool().Draw(t, "refused"),
+		Shift:    i > 1,
 		Senders:  rapid.IntRange(1, 9).Draw(t, "senders"),
 		Load:     drawLoad(t),
 	}
--- a/router/model_test.go
+++ b/router/model_test.go
@@ -442,7 +442,7 @@
 	for z := range modelZones {
 		zone := Zone{
 			Name: zoneName(z), Region: regionName(z), Near: z == h.zone, RTT: h.rtt(z),
-			Weight: int(h.m.capacity(z)), Senders: modelHosts,
+			Weight: int(h.m.capacity(z)), Shift: z/2 != h.zone/2,
 		}
 		h.fill(&zone, z)
 		zones = append(zones, zone)
@@ -455,7 +455,7 @@
 
 // mates is the part of the own zone whose slots another host holds.
 func (h *modelHost) mates() Zone {
-	zone := Zone{Name: zoneName(h.zone), Region: h.region(), RTT: time.Millisecond, Senders: modelHosts}
+	zone := Zone{Name: zoneName(h.zone), Region: h.region(), RTT: time.Millisecond}
 	h.fill(&zone, h.zone)
 	return zone
 }
@@ -478,11 +478,24 @@
 			Busy: zone.Load.Busy + l.Busy, Queued: zone.Load.Queued + l.Queued, Service: max(zone.Load.Service, l.Took),
 		}
 	}
+	zone.Senders = h.senders(z)
 	zone.InFlight = h.flight(zone.Name).Count()
 	zone.Held = h.flight(zone.Name).Held(now, zone.Load)
 	zone.Refused = h.flight(zone.Name).Refused(now, zone.Load)
 }
 
+// senders are this host and those whose own slots are known to be short, or of which nothing is known.
+func (h *modelHost) senders(z int) int {
+	n := 1
+	for _, peer := range h.m.hosts {
+		l, _, ok := peer.seen()
+		if peer != h && peer.zone != z && !peer.dead && (!ok || Load{Ready: l.Ready, Busy: l.Busy, Queued: l.Queued}.Short()) {
+			n++
+		}
+	}
+	return n
+}
+
 func decide(h *modelHost) []Choice {
 	return Decide(h.region(), h.survey(), h.m.rng).Choices
 }
--- a/router/state.go
+++ b/router/state.go
@@ -28,8 +28,11 @@
 	Held int
 	// Refused says that the zone refused a request of this host after its report was made.
 	Refused bool
-	// Senders is the number of live hosts that may pass requests to the zone.
+	// Senders is the number of hosts that are likely to pass requests to the zone, this one
+	// included.
 	Senders int
+	// Shift says that the zone is in another region, whose caches may be cold.
+	Shift bool
 }
 
 // Load is the state of a zone's targets of one service.
@@ -55,6 +58,10 @@
 	maxChoices = 3
 	// minAllotment lets each host probe a zone whose report shows no room.
 	minAllotment = 1
+	// rampStart is the number of requests in flight by which a shift to another region begins.
+	rampStart = 8
+	// shortDivisor is the part of a zone's slots, as a divisor, that is free where none are short.
+	shortDivisor = 10
 	// nearEqual is the difference in expected delay that is no reason to prefer a zone.
 	nearEqual = 5 * time.Millisecond
 	// waitCost counts a wait more than a trip, since whoever waits also delays those behind.
@@ -93,6 +100,11 @@
 	return l.Ready - l.Busy - l.Queued
 }
 
+// Short reports whether so few slots are free that hosts may pass requests elsewhere.
+func (l Load) Short() bool {
+	return l.free()*shortDivisor <= l.Ready
+}
+
 // allotment is the number of requests that this host may have in flight to the zone. It is what
 // the host had there when the report was made and its part of the slots that were free then, so
 // that all senders together, who act on the same report, do not exceed them. Without news it is
@@ -108,6 +120,9 @@
 	if z.Load.free() > 0 {
 		part = max(part, minAllotment)
 	}
+	if z.Shift {
+		part = min(part, max(z.Held, rampStart))
+	}
 	return max(z.Held+part, minAllotment)
 }
 
--- a/surveyor/reports.go
+++ b/surveyor/reports.go
@@ -17,8 +17,11 @@
 	// sums are the reports of whole zones, whose hosts are not heard directly.
 	sums map[site]router.Load
 	// hosts are each zone's own hosts that are not known to have ended.
-	hosts   map[string][]string
-	senders int
+	hosts map[string][]string
+	// peers counts each zone's hosts that may pass requests on.
+	peers map[string]int
+	// roomy counts those of them whose own slots of a service are not short.
+	roomy map[site]int
 }
 
 // siteReport is what the hosts report that hold slots of a service in a zone.
@@ -29,11 +32,12 @@
 
 func newReports(now timer.Instant, m Members) *reports {
 	r := &reports{
-		at:      now,
-		sites:   make(map[site]*siteReport),
-		sums:    make(map[site]router.Load),
-		hosts:   make(map[string][]string),
-		senders: 1,
+		at:    now,
+		sites: make(map[site]*siteReport),
+		sums:  make(map[site]router.Load),
+		hosts: make(map[string][]string),
+		peers: make(map[string]int),
+		roomy: make(map[site]int),
 	}
 	for _, v := range m.Members(now) {
 		r.addMember(v)
@@ -49,7 +53,7 @@
 	case detector.StateDead, detector.StateLeft, detector.StateLeaving:
 		return
 	case detector.StateLive, detector.StateSuspect:
-		r.senders++
+		r.addPeer(m)
 	}
 	r.hosts[m.Host.Zone] = append(r.hosts[m.Host.Zone], m.Host.Name)
 	if m.State != detector.StateLive {
@@ -62,6 +66,20 @@
 	}
 }
 
+// addPeer counts a host that may pass on the requests that its own slots are short for.
+func (r *reports) addPeer(m detector.MemberView) {
+	r.peers[m.Host.Zone]++
+	own := make(map[string]router.Load, len(m.Loads))
+	for _, l := range m.Loads {
+		own[l.GetService()] = addLoad(own[l.GetService()], l, m.Age)
+	}
+	for service, l := range own {
+		if !l.Short() {
+			r.roomy[site{service: service, zone: m.Host.Zone}]++
+		}
+	}
+}
+
 func (r *reports) addLoad(m detector.MemberView, l *messenger.Load) {
 	at := siteOf(m.Host.Zone, l)
 	known := r.sites[at]
@@ -81,6 +99,27 @@
 		at := siteOf(z.Name, l)
 		r.sums[at] = addLoad(r.sums[at], l, z.Age)
 	}
+	for _, l := range z.Loads {
+		at := siteOf(z.Name, l)
+		if r.sites[at] == nil && at.zone == z.Name && !r.sums[at].Short() {
+			r.roomy[at] = r.peers[z.Name]
+		}
+	}
+}
+
+// short counts the hosts of a zone whose own slots of a service are short, or of which nothing is
+// known.
+func (r *reports) short(service, zone string) int {
+	return max(r.peers[zone]-r.roomy[site{service: service, zone: zone}], 0)
+}
+
+// senders counts the hosts that are likely to pass requests to some zone, this one included.
+func (r *reports) senders(service string) int {
+	n := 1
+	for zone := range r.peers {
+		n += r.short(service, zone)
+	}
+	return n
 }
 
 // siteOf is the zone whose slots the load is of: the one it names, or the reporter's own.
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -131,6 +131,7 @@
 		query:    q,
 		own:      own,
 		reports:  s.reports,
+		senders:  s.reports.senders(q.Service),
 		age:      now.Sub(s.reports.at),
 		near:     s.slots.Near(),
 		rules:    findRules(inv, q),
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -96,6 +96,23 @@
 	}
 }
 
+func TestSendersAreHostsThatAreShort(t *testing.T) {
+	f, s := newFleet(t, 6, 12)
+	f.members[5].Loads = []*messenger.Load{{Service: "s", Slots: 18, Ready: 18, Busy: 18}} // h6 in z3
+	f.members[8].Loads = nil                                                               // h9 in z4
+	f.members[10].State = detector.StateDead
+	zones := s.Survey(1, router.Query{Service: "s"})
+	for _, z := range zones {
+		want := 3
+		if z.Name == "z3" || z.Name == "z4" {
+			want = 2
+		}
+		if z.Senders != want || z.Shift != (z.Region != "r0") {
+			t.Errorf("%s: %d senders, shift %t", z.Name, z.Senders, z.Shift)
+		}
+	}
+}
+
 func TestKeptSurveyAgesAndCounts(t *testing.T) {
 	f, s := newFleet(t, 6, 12)
 	q := router.Query{Service: "s"}
--- a/surveyor/view.go
+++ b/surveyor/view.go
@@ -15,6 +15,7 @@
 	query    router.Query
 	own      registrar.Zone
 	reports  *reports
+	senders  int
 	age      time.Duration
 	near     []string
 	rules    rules
@@ -51,7 +52,8 @@
 		Draining: v.surveyor.cfg.DrainsZone(z.Name),
 		Weight:   v.rules.weight(z.Name),
 		Rank:     v.rules.rank(z.Region),
-		Senders:  v.reports.senders,
+		Senders:  v.senders - v.reports.short(v.query.Service, z.Name),
+		Shift:    z.Region != v.own.Region,
 	}
 	v.locate(&out)
 	return out
