surveyor: count short peers without a map for each

Cause: gathering 1,564 members made a map for each of them. Change: the few loads of a member are searched.

--- a/surveyor/reports.go
+++ b/surveyor/reports.go
@@ -1,6 +1,7 @@
 package surveyor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fescuethread/fescuethread/detector"
@@ -69,15 +70,28 @@
 // addPeer counts a host that may pass on the requests that its own slots are short for.
 func (r *reports) addPeer(m detector.MemberView) {
 	r.peers[m.Host.Zone]++
-	own := make(map[string]router.Load, len(m.Loads))
-	for _, l := range m.Loads {
-		own[l.GetService()] = addLoad(own[l.GetService()], l, m.Age)
+	for i, l := range m.Loads {
+		if !named(m.Loads[:i], l.GetService()) && !loadOf(m.Loads[i:], l.GetService()).Short() {
+			r.roomy[site{service: l.GetService(), zone: m.Host.Zone}]++
+		}
 	}
-	for service, l := range own {
-		if !l.Short() {
-			r.roomy[site{service: service, zone: m.Host.Zone}]++
+}
+
+func named(loads []*messenger.Load, service string) bool {
+	return slices.ContainsFunc(loads, func(l *messenger.Load) bool {
+		return l.GetService() == service
+	})
+}
+
+// loadOf adds up a service's loads in all zones.
+func loadOf(loads []*messenger.Load, service string) router.Load {
+	var sum router.Load
+	for _, l := range loads {
+		if l.GetService() == service {
+			sum = addLoad(sum, l, 0)
 		}
 	}
+	return sum
 }
 
 func (r *reports) addLoad(m detector.MemberView, l *messenger.Load) {
