--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -8,7 +8,6 @@
 
 	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/limiter"
-	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/router"
 	"github.com/fescuethread/fescuethread/scheduler"
@@ -36,7 +35,10 @@
 
 // Members tells what other hosts report.
 type Members interface {
+	// Members returns what is known of each other host.
 	Members(now timer.Instant) []detector.MemberView
+	// Zones returns what is known of each availability zone.
+	Zones(now timer.Instant) []detector.ZoneView
 }
 
 // Limiter admits units of an account.
@@ -53,8 +55,16 @@
 	members Members
 	limiter Limiter
 
-	mu       sync.Mutex
-	inFlight map[string]int
+	mu      sync.Mutex
+	flights map[site]*router.Flight
+	surveys map[router.Query]survey
+	reports *reports
+}
+
+// site is a service in an availability zone.
+type site struct {
+	service string
+	zone    string
 }
 
 // New returns a surveyor for a host of an availability zone.
@@ -62,13 +72,15 @@
 	host, zone string, cfg Configuration, s Slots, m Members, l Limiter,
 ) *Surveyor {
 	return &Surveyor{
-		host:     host,
-		zone:     zone,
-		cfg:      cfg,
-		slots:    s,
-		members:  m,
-		limiter:  l,
-		inFlight: make(map[string]int),
+		host:    host,
+		zone:    zone,
+		cfg:     cfg,
+		slots:   s,
+		members: m,
+		limiter: l,
+		flights: make(map[site]*router.Flight),
+		surveys: make(map[router.Query]survey),
+		reports: &reports{},
 	}
 }
 
@@ -96,39 +108,75 @@
 	if inv == nil {
 		return nil
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kept := s.surveys[q]
+	if kept.inv != inv || now.Sub(kept.at) >= surveyPeriod {
+		kept = survey{at: now, inv: inv, zones: s.gather(now, inv, q)}
+		s.keep(q, kept)
+	}
+	return s.refresh(now, q, kept)
+}
+
+func (s *Surveyor) gather(
+	now timer.Instant, inv *registrar.Inventory, q router.Query,
+) []router.Zone {
+	if s.reports.at == 0 || now.Sub(s.reports.at) >= surveyPeriod {
+		s.reports = newReports(now, s.members)
+	}
+	own, _ := inv.Zone(s.zone)
 	v := &view{
 		surveyor: s,
 		inv:      inv,
 		query:    q,
-		members:  s.members.Members(now),
+		own:      own,
+		reports:  s.reports,
+		senders:  s.reports.senders(q.Service),
+		age:      now.Sub(s.reports.at),
 		near:     s.slots.Near(),
 		rules:    findRules(inv, q),
 	}
 	var zones []router.Zone
 	for _, z := range inv.Zones() {
 		if len(inv.TargetsIn(q.Service, z.Name)) > 0 {
-			zones = append(zones, v.zone(z))
+			zones = v.add(zones, z)
 		}
 	}
 	return zones
 }
 
 // Begin takes a request out of the caps on shifts and links and counts it in.
-func (s *Surveyor) Begin(service string, choice router.Choice, bytes int64) bool {
+func (s *Surveyor) Begin(
+	now timer.Instant, service string, choice router.Choice, bytes int64,
+) bool {
 	if !s.charge(service, choice.Region, bytes) {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[choice.Zone]++
+	s.flight(service, choice.Zone).Begin(now)
 	return true
 }
 
-// End counts a request out.
-func (s *Surveyor) End(choice router.Choice) {
+// End counts a request out; refused says that the zone had no room for it.
+func (s *Surveyor) End(now timer.Instant, service string, choice router.Choice, refused bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.inFlight[choice.Zone]--
+	f := s.flight(service, choice.Zone)
+	f.End(now)
+	if refused {
+		f.Refuse(now)
+	}
+}
+
+func (s *Surveyor) flight(service, zone string) *router.Flight {
+	at := site{service: service, zone: zone}
+	f := s.flights[at]
+	if f == nil {
+		f = &router.Flight{}
+		s.flights[at] = f
+	}
+	return f
 }
 
 func (s *Surveyor) charge(service, region string, bytes int64) bool {
@@ -201,40 +249,3 @@
 func CapAccount(r registrar.Rule) string {
 	return "cap/" + r.Service + "/" + r.From + "/" + r.To
 }
-
-// loadOf adds up the reports of the hosts that hold slots of a zone.
-func loadOf(zone, service string, members []detector.MemberView) (router.Load, []string) {
-	var sum router.Load
-	var hosts []string
-	for _, m := range members {
-		if m.State != detector.StateLive {
-			continue
-		}
-		for _, l := range m.Loads {
-			if l.GetService() != service || zoneOf(m, l) != zone || l.GetSlots() == 0 {
-				continue
-			}
-			sum = addLoad(sum, l, m.Age)
-			hosts = append(hosts, m.Host.Name)
-		}
-	}
-	return sum, hosts
-}
-
-func zoneOf(m detector.MemberView, l *messenger.Load) string {
-	if l.GetAz() != "" {
-		return l.GetAz()
-	}
-	return m.Host.Zone
-}
-
-func addLoad(sum router.Load, l *messenger.Load, age time.Duration) router.Load {
-	return router.Load{
-		Known:   true,
-		Age:     max(sum.Age, age),
-		Ready:   sum.Ready + int(l.GetReady()),
-		Busy:    sum.Busy + int(l.GetBusy()),
-		Queued:  sum.Queued + int(l.GetQueued()),
-		Service: max(sum.Service, time.Duration(l.GetTook())*time.Microsecond),
-	}
-}
--- a/surveyor/view.go
+++ b/surveyor/view.go
@@ -2,8 +2,8 @@
 
 import (
 	"slices"
+	"time"
 
-	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/router"
 )
@@ -13,93 +13,64 @@
 	surveyor *Surveyor
 	inv      *registrar.Inventory
 	query    router.Query
-	members  []detector.MemberView
+	own      registrar.Zone
+	reports  *reports
+	senders  int
+	age      time.Duration
 	near     []string
 	rules    rules
 }
 
+// add adds a zone, and once more for those of its slots that other hosts hold where this host
+// holds some.
+func (v *view) add(zones []router.Zone, z registrar.Zone) []router.Zone {
+	remote := v.zone(z)
+	if !slices.Contains(v.near, z.Name) {
+		remote.Load, remote.Hosts = v.reports.of(v.site(z), v.age)
+		return append(zones, remote)
+	}
+	near := v.zone(z)
+	near.Near = true
+	zones = append(zones, near)
+	mates := v.reports.sites[v.site(z)]
+	if mates == nil {
+		return zones
+	}
+	remote.RTT = max(remote.RTT, nearRTT)
+	remote.Load, remote.Hosts = aged(mates.load, v.age), mates.hosts
+	return append(zones, remote)
+}
+
+func (v *view) site(z registrar.Zone) site {
+	return site{service: v.query.Service, zone: z.Name}
+}
+
 func (v *view) zone(z registrar.Zone) router.Zone {
 	out := router.Zone{
 		Name:     z.Name,
 		Region:   z.Region,
-		Near:     slices.Contains(v.near, z.Name),
 		Draining: v.surveyor.cfg.DrainsZone(z.Name),
 		Weight:   v.rules.weight(z.Name),
 		Rank:     v.rules.rank(z.Region),
-		Senders:  v.senders(),
+		Senders:  v.senders - v.reports.short(v.query.Service, z.Name),
+		Shift:    z.Region != v.own.Region,
 	}
 	v.locate(&out)
-	if out.Near {
-		out.Load = v.nearLoad(z.Name)
-		return out
-	}
-	out.Load, out.Hosts = loadOf(z.Name, v.query.Service, v.members)
-	if !out.Load.Known {
-		out.Hosts = v.standingHosts(z.Name)
-	}
-	v.surveyor.mu.Lock()
-	out.InFlight = v.surveyor.inFlight[z.Name]
-	v.surveyor.mu.Unlock()
 	return out
 }
 
 func (v *view) locate(out *router.Zone) {
-	own, _ := v.inv.Zone(v.surveyor.zone)
 	switch {
-	case out.Name == own.Name:
-		out.Linked = true
-	case out.Region == own.Region:
-		out.Linked = true
+	case out.Name == v.own.Name:
+	case out.Region == v.own.Region:
 		out.RTT = nearRTT
 	default:
-		link, ok := v.inv.Link(own.Region, out.Region)
-		out.Linked = ok || out.Near
+		link, ok := v.inv.Link(v.own.Region, out.Region)
+		out.Unlinked = !ok && !out.Near
 		out.RTT = link.RTT
 	}
 }
 
-func (v *view) nearLoad(zone string) router.Load {
-	for _, l := range v.surveyor.slots.Loads(zone) {
-		if l.Service != v.query.Service {
-			continue
-		}
-		return router.Load{
-			Known:   true,
-			Ready:   l.Ready,
-			Busy:    l.Busy,
-			Queued:  l.Queued,
-			Service: l.Took,
-		}
-	}
-	return router.Load{}
-}
-
-// standingHosts returns the zone's own entry hosts that are not known to have ended.
-func (v *view) standingHosts(zone string) []string {
-	var hosts []string
-	for _, m := range v.members {
-		if m.Host.Zone != zone {
-			continue
-		}
-		switch m.State {
-		case detector.StateDead, detector.StateLeft, detector.StateLeaving:
-		default:
-			hosts = append(hosts, m.Host.Name)
-		}
-	}
-	return hosts
-}
-
-func (v *view) senders() int {
-	n := 1
-	for _, m := range v.members {
-		if m.State == detector.StateLive || m.State == detector.StateSuspect {
-			n++
-		}
-	}
-	return n
-}
-
 // rules are the operators' rules that concern one request.
 type rules struct {
 	order   []string
