detector: report all missing hosts and trust a zone that is heard

Ruled out: more notices in each digest (traffic); a longer wait in the test (the view stayed wrong). Change: a remote host is live while its zone is heard and doesn't miss it; notices of missing hosts take turns; a fresh sign of life is relayed even if the relaying host knows more; a summary counts when a notice of the same heartbeat came first.

--- a/detector/judge.go
+++ b/detector/judge.go
@@ -123,14 +123,15 @@
 }
 
 func (t *Table) judgeRemote(now timer.Instant, e *entry) (State, string) {
-	age := now.Sub(t.zones[e.info.Zone].heard)
+	z := t.zones[e.info.Zone]
+	age := now.Sub(z.heard)
 	suspectAfter, deadAfter := t.remoteBounds()
 	switch {
 	case e.missing:
 		return StateDead, reasonMissing
 	case age >= deadAfter:
 		return StateDead, reasonZoneDead
-	case e.member.Incarnation == 0:
+	case !z.known:
 		return StateUnknown, reasonNever
 	case age >= suspectAfter && e.listed(ListedGone):
 		return StateDead, reasonGone
--- a/detector/lossy_test.go
+++ b/detector/lossy_test.go
@@ -338,3 +338,21 @@
 	f.run(20 * time.Second)
 	f.wantAgreement(t)
 }
+
+func TestLossOfMostOfAZoneIsKnown(t *testing.T) {
+	f := newFleet(3, 36)
+	f.run(20 * time.Second)
+	for i := 1; i < 28; i += 3 {
+		f.down[f.hosts[i].Name] = true
+	}
+	f.run(30 * time.Second)
+	f.wantAgreement(t)
+}
+
+func TestNewHostKnowsTheFleetSoon(t *testing.T) {
+	f := newFleet(12, 200)
+	f.run(20 * time.Second)
+	f.start("h0007", firstIncarnation+1)
+	f.run(5 * time.Second)
+	f.wantAgreement(t)
+}
--- a/detector/receive.go
+++ b/detector/receive.go
@@ -42,6 +42,8 @@
 		t.miss(now, from, e, m)
 		return
 	}
+	// A notice of the same heartbeat may have come first.
+	t.describe(now, e, m)
 	if !newer(m, e.member) {
 		t.repeat(now, from, e, m)
 		return
@@ -74,12 +76,19 @@
 	z := t.zones[e.info.Zone]
 	z.heard = now
 	z.known = true
-	if m.Az != "" {
-		// It is more than a notice; from another zone it speaks for the zone.
-		e.report = m
-		e.reported = now
-		z.speaker = e
+}
+
+// describe records what a full heartbeat tells beyond a notice; from another zone it speaks for
+// the whole zone.
+func (t *Table) describe(now timer.Instant, e *entry, m *messenger.Member) {
+	if m.Az == "" || e.report != nil && !newer(m, e.report) {
+		return
 	}
+	e.report = m
+	e.reported = now
+	z := t.zones[e.info.Zone]
+	z.summary = m
+	z.summarised = now
 }
 
 // miss records that the host's own zone doesn't hear it, unless something newer was just heard.
@@ -98,12 +107,15 @@
 	t.relay(now, from, e, m)
 }
 
-// repeat passes on a notice of a departure that a new host of the own zone may not know yet.
+// repeat passes on what is no news here but may be to the mates: a departure, or a sign of life of
+// a host that they may take for missing.
 func (t *Table) repeat(now timer.Instant, from string, e *entry, m *messenger.Member) {
-	if m.State != messenger.State_STATE_LEFT || newer(e.member, m) {
+	if m.Incarnation != e.member.Incarnation {
 		return
 	}
-	t.relay(now, from, e, m)
+	if m.State == messenger.State_STATE_LEFT || now.Sub(e.heard) < DeadAfter {
+		t.relay(now, from, e, m)
+	}
 }
 
 // relay keeps what another zone told for the own zone, until a mate is seen to have told it.
@@ -120,7 +132,7 @@
 	case full && now.Sub(z.relayed) < t.relayPause():
 		// The zone's other speaker was heard in the same round.
 		return
-	default:
+	case t.relays[m.Host] == nil || newer(m, t.relays[m.Host]):
 		t.relays[m.Host] = m
 	}
 	if full {
--- a/detector/view.go
+++ b/detector/view.go
@@ -197,11 +197,14 @@
 }
 
 func (e *entry) contactAge(now timer.Instant) time.Duration {
-	report := e.current()
-	if report.Contact >= noContact {
+	return contactAge(now, e.current(), e.reported)
+}
+
+func contactAge(now timer.Instant, m *messenger.Member, heard timer.Instant) time.Duration {
+	if m.Contact >= noContact {
 		return NoContact
 	}
-	return time.Duration(report.Contact)*time.Millisecond + now.Sub(e.reported)
+	return time.Duration(m.Contact)*time.Millisecond + now.Sub(heard)
 }
 
 func encodeContact(age time.Duration) uint64 {
@@ -281,13 +284,12 @@
 			v.Heard++
 		}
 	}
-	if z.speaker == nil {
+	if z.summary == nil {
 		return
 	}
-	report := z.speaker.current()
-	v.Contact = z.speaker.contactAge(now)
-	v.Loads = report.Loads
-	v.Suspects = report.Suspects
+	v.Contact = contactAge(now, z.summary, z.summarised)
+	v.Loads = z.summary.Loads
+	v.Suspects = z.summary.Suspects
 }
 
 func heard(s State) bool {
--- a/detector/zone.go
+++ b/detector/zone.go
@@ -22,8 +22,9 @@
 	known bool
 	// relayed is the instant at which a summary of the zone was last passed on in the own zone.
 	relayed timer.Instant
-	// speaker is the host that last sent a full heartbeat.
-	speaker *entry
+	// summary is the newest full heartbeat of one of the hosts, heard at summarised.
+	summary    *messenger.Member
+	summarised timer.Instant
 	// picks and rotation count the digests made for the zone.
 	picks    int
 	rotation int
@@ -184,10 +185,10 @@
 		return nil
 	}
 	var out []*messenger.Member
-	for _, e := range t.news(now, mates) {
+	z.rotation++
+	for _, e := range rotate(t.news(now, mates), z.rotation) {
 		out = append(out, t.notice(now, e))
 	}
-	z.rotation++
 	next := mates[z.rotation%len(mates)]
 	state, _ := t.judge(now, next)
 	if state == StateLive || state == StateLeaving {
@@ -206,7 +207,21 @@
 		}
 	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].changed > out[j].changed })
-	return out[:min(len(out), noticesPerDigest)]
+	return out
+}
+
+// rotate cuts news to what a digest holds: half for the newest, half for the rest in turn.
+func rotate(news []*entry, turn int) []*entry {
+	if len(news) <= noticesPerDigest {
+		return news
+	}
+	const newest = noticesPerDigest / 2
+	out := slices.Clone(news[:newest])
+	rest := news[newest:]
+	for i := range noticesPerDigest - newest {
+		out = append(out, rest[(turn*newest+i)%len(rest)])
+	}
+	return out
 }
 
 func (t *Table) newsworthy(now timer.Instant, e *entry, state State) bool {
