identifier: let a leaving successor adopt until it has exported

Cause: two hosts that stop at the same time could choose each other's way; a frozen successor refused the handover, and as a handover may go to one process only, all its operations became unknown. Ruled out: a second successor after a refusal, which needs proof that the refusal isn't an old one. Change: a frozen registry adopts and hands everything on; after its own export it refuses, but still acknowledges what it adopted before. Before: KindFrozen. After: TestLeavingSuccessorHandsEverythingOn and go test -race ./identifier pass. Conclusion: only a handover that arrives after the successor's export is lost to 'outcome unknown'.

--- a/identifier/handover.go
+++ b/identifier/handover.go
@@ -237,9 +237,6 @@
 
 func (s *state) adopt(now timer.Instant, body []byte) error {
 	const op = "adopt"
-	if s.frozen {
-		return &Error{Op: op, Kind: KindFrozen}
-	}
 	var h handover
 	if err := json.Unmarshal(body, &h); err != nil {
 		return &Error{Op: op, Kind: KindMalformed, Err: errors.Wrap(err, "decode")}
@@ -254,6 +251,9 @@
 	if _, ok := s.adopted[h.From]; ok {
 		return nil
 	}
+	if s.export != nil {
+		return &Error{Op: op, Kind: KindMoved}
+	}
 	return s.take(now, h)
 }
 
--- a/identifier/registry_test.go
+++ b/identifier/registry_test.go
@@ -224,6 +224,34 @@
 	begin(t, to, start, tokens[299], OutcomeUnknown)
 }
 
+func TestLeavingSuccessorHandsEverythingOn(t *testing.T) {
+	last := Owner{Host: "h3", Incarnation: 4}
+	a, b, c := newRegistry(t, owner, nil), newRegistry(t, heir, nil), newRegistry(t, last, nil)
+	token := issue(t, a, start)
+	b.Freeze()
+	first, err := a.Export(start, heir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	adopt(t, b, start, first)
+	_, err = b.Begin(start, token, booked, body)
+	wantKind(t, err, KindFrozen)
+	second, err := b.Export(start, last)
+	if err != nil {
+		t.Fatal(err)
+	}
+	adopt(t, b, start, first)
+	late, err := newRegistry(t, Owner{Host: "h4", Incarnation: 1}, nil).Export(start, heir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantKind(t, b.Adopt(start, late), KindMoved)
+	adopt(t, c, start, second)
+	begin(t, c, start, token, OutcomeRun)
+	_, err = b.Begin(start, token, booked, body)
+	wantKind(t, err, KindMoved)
+}
+
 func TestAnotherIncarnationAdoptsNothing(t *testing.T) {
 	from := newRegistry(t, owner, nil)
 	export, err := from.Export(start, heir)
