router: let the vote know of regions without a link

Cause: TestVerdictsAgreeWithDecisions: the router left out a zone without a link, the vote did not. Ruled out: leaving unlinked zones out of the property. Before: the property failed at once. After: go test ./router passes. Conclusion: explain shows the missing link.

--- a/router/signals.go
+++ b/router/signals.go
@@ -17,6 +17,13 @@
 			Detail: "drained by the configuration",
 		})
 	}
+	if z.Unlinked {
+		out = append(out, arbiter.Signal{
+			Source: arbiter.SourcePlan,
+			Claim:  arbiter.ClaimAvoid,
+			Detail: string(OmitNoLink),
+		})
+	}
 	switch {
 	case z.Near:
 	case len(z.Hosts) == 0:
