detector: judge evidence of remote hosts by their zone

Cause: TestVerdictsAgreeWithStates after merging the zone rule: the table called a host of a zone that was never heard unknown, the vote used it. Change: a remote host's evidence is known when its zone was heard; the test draws that too.

--- a/detector/signals.go
+++ b/detector/signals.go
@@ -15,11 +15,13 @@
 	if e == nil {
 		return nil
 	}
-	b := &evidence{entry: e, direct: t.direct(e)}
+	b := &evidence{entry: e, direct: t.direct(e), known: e.member.Incarnation > 0}
 	heard := e.heard
 	b.late, b.silent = SuspectAfter, DeadAfter
 	if !b.direct {
-		heard = t.zones[e.info.Zone].heard
+		z := t.zones[e.info.Zone]
+		heard = z.heard
+		b.known = z.known
 		b.late, b.silent = t.remoteBounds()
 	}
 	b.age = now.Sub(heard)
@@ -30,6 +32,8 @@
 type evidence struct {
 	entry  *entry
 	direct bool
+	// known says that the host, or its zone when it is remote, has been heard.
+	known  bool
 	age    time.Duration
 	late   time.Duration
 	silent time.Duration
@@ -44,10 +48,10 @@
 			Detail: "silent for " + b.age.Round(time.Millisecond).String(),
 		})
 	}
-	if b.known() || b.missing() {
+	if b.known || b.missing() {
 		out = append(out, b.heartbeat())
 	}
-	if b.known() && b.entry.listed(ListedGone) {
+	if b.known && b.entry.listed(ListedGone) {
 		out = append(out, arbiter.Signal{
 			Source: arbiter.SourceList,
 			Claim:  arbiter.ClaimAvoid,
@@ -61,10 +65,6 @@
 	})
 }
 
-func (b *evidence) known() bool {
-	return b.entry.member.Incarnation > 0
-}
-
 // missing reports whether the host's zone says that it doesn't hear it.
 func (b *evidence) missing() bool {
 	return !b.direct && b.entry.missing
@@ -80,7 +80,7 @@
 	}
 	plan.Bound = b.late
 	switch {
-	case !b.known():
+	case !b.known:
 		return out
 	case b.entry.member.State == messenger.State_STATE_LEAVING:
 		plan.Detail = "the host is leaving"
--- a/detector/signals_test.go
+++ b/detector/signals_test.go
@@ -48,6 +48,7 @@
 		e.listing = listing{state: Listed(rapid.IntRange(0, 3).Draw(t, "listed")), since: age("listed at")}
 		e.missing = rapid.Bool().Draw(t, "missing")
 		table.zones[e.info.Zone].heard = age("zone")
+		table.zones[e.info.Zone].known = rapid.Bool().Draw(t, "zone known")
 		state := table.State(now, e.info.Name)
 		v := arbiter.Vote(e.info.Name, table.Signals(now, e.info.Name))
 		if v.Claim != claimOf(state) {
