scheduler: put the operators' queue, floor and warm-up in force

Cause: the inventory checked fields that nothing read: a service's queue, an upstream's warmup and weight, the rule floor. Ruled out: keeping weight: targets are chosen by measured latency and load over their slots, and a static part beside that would be a second rule for the same choice; the field is gone. Change: queue and floor are each service's own; a target that is new to a host is warm after its warmup at the latest, or at once when that is 0s. Before: 64, a half and no time bound, whatever was set. After: TestServiceSettingsAndWarmup passes. Conclusion: every field of the inventory is read.

--- a/arbiter/vote.go
+++ b/arbiter/vote.go
@@ -66,5 +66,10 @@
 
 // Doubts reports whether so few of a set are usable that the measurement is doubted.
 func Doubts(usable, all int) bool {
-	return usable*100 < all*FloorPercent
+	return DoubtsBelow(usable, all, FloorPercent)
+}
+
+// DoubtsBelow is Doubts with the operators' floor in place of FloorPercent.
+func DoubtsBelow(usable, all, floorPercent int) bool {
+	return usable*100 < all*floorPercent
 }
--- a/assembler/follow.go
+++ b/assembler/follow.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"github.com/fescuethread/fescuethread/arbiter"
 	"github.com/fescuethread/fescuethread/carrier"
 	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/enforcer"
 	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/registrar"
+	"github.com/fescuethread/fescuethread/scheduler"
 	"github.com/fescuethread/fescuethread/surveyor"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -15,6 +17,9 @@
 // linkBurst is the part of a second's bytes that a link takes at once.
 const linkBurst = 100 * time.Millisecond
 
+// percent is the number of hundredths in a whole.
+const percent = 100
+
 // Follow hands a configuration to the parts that work by it.
 func (h *Host) Follow(c enforcer.Configuration) error {
 	if c.Inventory == nil {
@@ -80,13 +85,31 @@
 				}
 			}
 		}
-		if err := h.granter.Configure(zone.Name, targets, draining); err != nil {
+		err := h.granter.Configure(zone.Name, servicesOf(c.Inventory), targets, draining)
+		if err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// servicesOf returns what the operators set for each service's queue and floor.
+func servicesOf(inv *registrar.Inventory) []scheduler.Service {
+	services := make([]scheduler.Service, 0, len(inv.Services()))
+	for _, s := range inv.Services() {
+		out := scheduler.Service{
+			Name: s.Name, Queue: s.Queue, FloorPercent: arbiter.FloorPercent,
+		}
+		for _, r := range inv.Rules() {
+			if r.Kind == registrar.RuleFloor && (r.Service == "" || r.Service == s.Name) {
+				out.FloorPercent = int(r.Share * percent)
+			}
+		}
+		services = append(services, out)
+	}
+	return services
+}
+
 // NearTargets returns the targets that this host holds slots of.
 func (h *Host) NearTargets() []registrar.Target {
 	inv := h.enforcer.Inventory()
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -36,7 +36,9 @@
 }
 
 // Configure sets the targets of a zone and which of them are draining.
-func (g *Granter) Configure(name string, targets []registrar.Target, draining []string) error {
+func (g *Granter) Configure(
+	name string, services []scheduler.Service, targets []registrar.Target, draining []string,
+) error {
 	now := g.now()
 	z := g.zone(name)
 	known := make(map[string]registrar.Target, len(targets))
@@ -51,6 +53,9 @@
 	if err := z.scheduler.Configure(now, list); err != nil {
 		return err
 	}
+	for _, s := range services {
+		z.scheduler.SetService(s)
+	}
 	for name := range known {
 		z.scheduler.Undrain(now, name)
 	}
@@ -67,6 +72,7 @@
 		Address:     t.Address,
 		Slots:       t.Slots,
 		Connections: t.Connections,
+		Warmup:      t.Warmup,
 	}
 }
 
--- a/registrar/compare.go
+++ b/registrar/compare.go
@@ -227,7 +227,7 @@
 	for _, t := range inv.content.targets {
 		d.add("upstream "+t.Name, show("service", t.Service), show("zone", t.Zone),
 			show("address", t.Address), show("slots", t.Slots), show("connections", t.Connections),
-			show("warmup", t.Warmup), show("weight", t.Weight))
+			show("warmup", t.Warmup))
 	}
 	for _, c := range inv.content.customers {
 		d.add("customer "+c.Name, show("rate", c.Rate), show("burst", c.Burst),
--- a/registrar/entity.go
+++ b/registrar/entity.go
@@ -112,8 +112,6 @@
 	Connections int
 	// Warmup is the time that a cold target takes to full load.
 	Warmup time.Duration
-	// Weight is the target's part of the load beside others of its zone.
-	Weight int
 }
 
 // Customer is a holder of keys with a rate for the whole fleet.
--- a/registrar/parse.go
+++ b/registrar/parse.go
@@ -22,7 +22,6 @@
 	defaultQueue   = 64
 	defaultTimeout = 5 * time.Second
 	defaultWarmup  = 10 * time.Second
-	defaultWeight  = 1
 )
 
 // defaultIdempotent lists the methods that are safe by definition.
@@ -163,7 +162,6 @@
 		Slots:       int(r.integer("slots", 0, 1, maxCount)),
 		Connections: int(r.integer("connections", 0, 1, maxCount)),
 		Warmup:      r.duration("warmup", defaultWarmup, 0, maxWarmup),
-		Weight:      int(r.integer("weight", defaultWeight, 1, maxWeight)),
 	}
 }
 
--- a/scheduler/pool.go
+++ b/scheduler/pool.go
@@ -27,10 +27,20 @@
 	alone   aloneQueue
 	took    time.Duration
 	choose  chooser
+	// bound and floor are the service's own settings.
+	bound int
+	floor int
 }
 
 func newPool(service string, cfg *Config) *pool {
-	return &pool{service: service, cfg: cfg, queue: newFairQueue(), choose: fastest}
+	return &pool{
+		service: service,
+		cfg:     cfg,
+		queue:   newFairQueue(),
+		choose:  fastest,
+		bound:   cfg.Queue,
+		floor:   arbiter.FloorPercent,
+	}
 }
 
 // enqueue grants, queues or refuses t.
@@ -60,7 +70,7 @@
 	if p.queue.length(t.work.Customer) >= p.cfg.CustomerQueue {
 		return ReasonCustomer
 	}
-	if p.queue.size >= p.cfg.Queue && !p.makeRoom(t.work.Customer) {
+	if p.queue.size >= p.bound && !p.makeRoom(t.work.Customer) {
 		return ReasonFull
 	}
 	return ReasonGranted
@@ -207,7 +217,7 @@
 		}
 		all++
 	}
-	return arbiter.Doubts(ready, all)
+	return arbiter.DoubtsBelow(ready, all, p.floor)
 }
 
 func (p *pool) capacity(now timer.Instant) int {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,6 +88,25 @@
 	return nil
 }
 
+// Service is what the operators set for one service; a zero queue stands for the default.
+type Service struct {
+	// Name identifies the service.
+	Name string
+	// Queue bounds the requests that wait.
+	Queue int
+	// FloorPercent is the part of the targets below which their health is doubted.
+	FloorPercent int
+}
+
+// SetService puts a service's own settings in force.
+func (s *Scheduler) SetService(service Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pool(service.Name)
+	p.bound = orDefault(service.Queue, s.cfg.Queue)
+	p.floor = service.FloorPercent
+}
+
 // SetShare sets this host's place among the hosts that hold the targets' slots; slots that it
 // did not hold before are used from the instant after on. A negative index holds none. Every
 // change of the holders has to be passed, in order: one that is skipped may have given slots of
--- a/scheduler/target.go
+++ b/scheduler/target.go
@@ -18,6 +18,9 @@
 	Slots int
 	// Connections bounds the connections to the target.
 	Connections int
+	// Warmup is the time after which a target is warm, however few requests it has run; zero stands
+	// for a target that is never cold.
+	Warmup time.Duration
 }
 
 // Report is what a target says of itself.
@@ -58,6 +61,7 @@
 	failed   timer.Instant
 	until    timer.Instant
 	probedBy timer.Instant
+	added    timer.Instant
 	own      timer.Instant
 	latency  time.Duration
 	// exclusive says that work runs on the target that has to be alone.
@@ -68,7 +72,9 @@
 }
 
 func newTarget(t Target, cfg *Config, now timer.Instant) *target {
-	return &target{Target: t, cfg: cfg, limit: 1, own: now.Add(-cfg.OwnAge), probedBy: now}
+	return &target{
+		Target: t, cfg: cfg, limit: 1, added: now, own: now.Add(-cfg.OwnAge), probedBy: now,
+	}
 }
 
 // state applies the standing rule: a drain comes before all, own results come before the
@@ -111,13 +117,21 @@
 func (t *target) capacity(now timer.Instant, part int, doubted bool) int {
 	switch t.state(now, doubted) {
 	case StateReady:
-		return min(part, t.limit)
+		return min(part, t.warm(now))
 	case StateProbe:
 		return min(part, 1)
 	}
 	return 0
 }
 
+// warm is the number of slots that the target's warm-up has opened.
+func (t *target) warm(now timer.Instant) int {
+	if now.Sub(t.added) >= t.Warmup {
+		return t.Slots
+	}
+	return t.limit
+}
+
 // accepts reports whether w may run on the target in its state.
 func (t *target) accepts(now timer.Instant, w *Work, doubted bool) bool {
 	if w.Idempotent || t.state(now, doubted) != StateProbe {
