--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -7,11 +7,10 @@
 )
 
 const (
-	// admissionWait is the longest time that a request waits for its customer's rate: the time in
-	// which idle shares of other hosts arrive.
-	admissionWait = 300 * time.Millisecond
-	// admissionStep is the longest time between two looks.
-	admissionStep = 50 * time.Millisecond
+	// admissionStep is the time between two looks at a customer's rate, and admissionLooks the
+	// number of looks; together they last for as long as idle shares of other hosts take to arrive.
+	admissionStep  = 50 * time.Millisecond
+	admissionLooks = 6
 	// maxWaiting bounds the requests that wait.
 	maxWaiting = 256
 )
@@ -42,18 +41,13 @@
 }
 
 func (c *Carrier) awaitRate(ctx context.Context, w Work) bool {
-	ctx, cancel := context.WithTimeout(ctx, admissionWait)
-	defer cancel()
-	ticker := time.NewTicker(admissionStep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	for range admissionLooks {
+		if c.parts.Pauser.Pause(ctx, admissionStep) != nil {
 			return false
-		case <-ticker.C:
-			if c.parts.Limiter.Admit(AccountOf(w.Customer), 1).Admitted {
-				return true
-			}
+		}
+		if c.parts.Limiter.Admit(AccountOf(w.Customer), 1).Admitted {
+			return true
 		}
 	}
+	return false
 }
