surveyor: charge every message between regions to its link

Cause: requests that go to the owner of an operation in another region were not charged to the link; the cap on shifts had no test of its own. Ruled out: counting owner's requests as shifts: they go where their operation lives, not where load is. Change: caps are charged per shift, links per message with its bytes, in either role; a request that the link has no room for says 'unknown' when it bears an operation. Status finds the callers' service by name in the kernel. After: TestShiftsAreChargedToCapsAndLinks passes.

--- a/assembler/host.go
+++ b/assembler/host.go
@@ -50,6 +50,8 @@
 	adminHeaderBytes = 1 << 14
 	adminAnswerBytes = 8 << 20
 	adminConnections = 64
+	// serviceCallers is the name of the service that serves callers.
+	serviceCallers = "callers"
 	// housekeepingPeriod is the time between two sweeps over expired state.
 	housekeepingPeriod = 100 * time.Millisecond
 )
@@ -327,7 +329,7 @@
 		service launcher.Service
 	}{
 		{"timer", h.timer},
-		{"callers", h.callers},
+		{serviceCallers, h.callers},
 		{"admin", h.admin},
 		{"peers", serviceFunc(func(ctx context.Context) error {
 			return h.peerSide.Serve(ctx, &peerHandler{host: h})
--- a/assembler/source.go
+++ b/assembler/source.go
@@ -48,7 +48,7 @@
 		Freshness:   string(h.keys.judge(now).Freshness),
 		Documents:   toDocuments(h.enforcer.Versions()),
 		Operations:  h.registry.Stats().Records,
-		Connections: h.callers.Connections(),
+		Connections: h.connections(),
 	}
 	for _, m := range h.detector.Members(now) {
 		s.Members = append(s.Members, reporter.Member{
@@ -75,6 +75,24 @@
 	return s
 }
 
+// counter is a service that counts its connections.
+type counter interface {
+	Connections() int
+}
+
+// connections finds the callers' service by its name.
+func (h *Host) connections() int {
+	s, err := h.kernel.Find(serviceCallers)
+	if err != nil {
+		return 0
+	}
+	c, ok := s.(counter)
+	if !ok {
+		return 0
+	}
+	return c.Connections()
+}
+
 func toAccount(a limiter.AccountSnapshot) reporter.Account {
 	rate := a.Home.Rate - a.Lent.Rate + a.Held.Rate
 	burst := a.Home.Burst - a.Lent.Burst + a.Held.Burst
--- a/carrier/fakes_test.go
+++ b/carrier/fakes_test.go
@@ -75,17 +75,18 @@
 	return d
 }
 
-func (w *world) Begin(timer.Instant, string, router.Choice, int64) bool { return true }
-func (w *world) End(timer.Instant, string, router.Choice, bool)         {}
-func (w *world) Reply(context.Context, string, int64) error             { return nil }
-func (w *world) State(string) locator.State                             { return locator.Live }
-func (w *world) Owner(o identifier.Owner) string                        { return o.Host }
-func (w *world) First(timer.Instant, string)                            {}
-func (w *world) Pause(ctx context.Context, _ time.Duration) error       { return ctx.Err() }
-func (w *world) Tell(timer.Instant) [][]byte                            { return nil }
-func (w *world) Hear(timer.Instant, string, [][]byte)                   {}
-func (w *world) Target() registrar.Target                               { return registrar.Target{Name: "t"} }
-func (w *world) Release(Result)                                         {}
+func (w *world) Begin(timer.Instant, string, router.Choice) bool  { return true }
+func (w *world) End(timer.Instant, string, router.Choice, bool)   {}
+func (w *world) Send(string, int64) bool                          { return true }
+func (w *world) Reply(context.Context, string, int64) error       { return nil }
+func (w *world) State(string) locator.State                       { return locator.Live }
+func (w *world) Owner(o identifier.Owner) string                  { return o.Host }
+func (w *world) First(timer.Instant, string)                      {}
+func (w *world) Pause(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+func (w *world) Tell(timer.Instant) [][]byte                      { return nil }
+func (w *world) Hear(timer.Instant, string, [][]byte)             {}
+func (w *world) Target() registrar.Target                         { return registrar.Target{Name: "t"} }
+func (w *world) Release(Result)                                   {}
 func (w *world) Decide(_ timer.Instant, a retrier.Attempt) retrier.Decision {
 	if !a.Idempotent && !a.NotRun {
 		return retrier.Decision{Reason: retrier.ReasonUnsafe}
--- a/carrier/operation.go
+++ b/carrier/operation.go
@@ -22,7 +22,7 @@
 		return c.own(ctx, w)
 	}
 	r := c.pass(ctx, w, owner, messenger.Role_ROLE_OWN)
-	if r.Reason == ReasonPeer {
+	if r.Host == "" && (r.Reason == ReasonPeer || r.Reason == ReasonCap) {
 		// An earlier try may have run, so nobody but the owner can say that the work was not run.
 		return unknown(http.StatusBadGateway, ReasonOwner)
 	}
--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -47,12 +47,15 @@
 type Router interface {
 	// Route orders the zones for a request.
 	Route(now timer.Instant, q router.Query) router.Decision
-	// Begin takes a request that is to be passed to another zone out of the caps on shifts and
-	// links; it reports false when one of them is used up.
-	Begin(now timer.Instant, service string, choice router.Choice, bytes int64) bool
+	// Begin takes a request that is to be passed to another zone out of the caps on shifts; it
+	// reports false when one of them is used up.
+	Begin(now timer.Instant, service string, choice router.Choice) bool
 	// End tells that the request that Begin counted has ended, and whether the zone had no room
 	// for it.
 	End(now timer.Instant, service string, choice router.Choice, refused bool)
+	// Send takes what is sent to another zone out of the link to its region; it reports false when
+	// the link is full.
+	Send(zone string, bytes int64) bool
 	// Reply waits until the link to another region has room for an answer.
 	Reply(ctx context.Context, zone string, bytes int64) error
 }
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -79,7 +79,7 @@
 	if choice.Host == "" {
 		return c.runNear(ctx, w, choice.Zone)
 	}
-	if !c.parts.Router.Begin(c.now(), w.Service, choice, int64(len(w.Body))) {
+	if !c.parts.Router.Begin(c.now(), w.Service, choice) {
 		return notRun(http.StatusServiceUnavailable, ReasonCap)
 	}
 	w.Zone = choice.Zone
@@ -182,6 +182,9 @@
 		return notRun(http.StatusServiceUnavailable, ReasonPeer)
 	}
 	w.Sender = c.cfg.Zone
+	if !c.parts.Router.Send(peer.Zone, int64(len(w.Body))) {
+		return notRun(http.StatusServiceUnavailable, ReasonCap)
+	}
 	in := w.toRequest(c.now(), role)
 	in.Via = c.cfg.Host
 	in.Suspects = c.parts.Suspects.Tell(c.now())
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -145,11 +145,11 @@
 	return zones
 }
 
-// Begin takes a request out of the caps on shifts and links and counts it in.
+// Begin takes a request out of the caps on shifts and counts it in.
 func (s *Surveyor) Begin(
-	now timer.Instant, service string, choice router.Choice, bytes int64,
+	now timer.Instant, service string, choice router.Choice,
 ) bool {
-	if !s.charge(service, choice.Region, bytes) {
+	if !s.charge(service, choice.Region) {
 		return false
 	}
 	s.mu.Lock()
@@ -179,7 +179,8 @@
 	return f
 }
 
-func (s *Surveyor) charge(service, region string, bytes int64) bool {
+// charge takes a request out of the caps on shifts to a region.
+func (s *Surveyor) charge(service, region string) bool {
 	inv := s.cfg.Inventory()
 	own, _ := inv.Zone(s.zone)
 	if own.Region == region {
@@ -193,10 +194,25 @@
 			return false
 		}
 	}
-	if _, ok := inv.Link(own.Region, region); !ok {
-		return true
+	return true
+}
+
+// Send takes bytes out of the link to a zone's region; it reports false when the link is full.
+func (s *Surveyor) Send(zone string, bytes int64) bool {
+	account, ok := s.link(zone)
+	return !ok || s.limiter.Admit(account, max(bytes, 1)).Admitted
+}
+
+// link names the account of the link to a zone's region; there is none within a region.
+func (s *Surveyor) link(zone string) (string, bool) {
+	inv := s.cfg.Inventory()
+	own, _ := inv.Zone(s.zone)
+	to, ok := inv.Zone(zone)
+	if !ok || to.Region == own.Region {
+		return "", false
 	}
-	return s.limiter.Admit(LinkAccount(own.Region, region), max(bytes, 1)).Admitted
+	_, ok = inv.Link(own.Region, to.Region)
+	return LinkAccount(own.Region, to.Region), ok
 }
 
 func capApplies(r registrar.Rule, service, from, to string) bool {
@@ -208,16 +224,10 @@
 
 // Reply waits until the link to the sender's region has room for an answer.
 func (s *Surveyor) Reply(ctx context.Context, zone string, bytes int64) error {
-	inv := s.cfg.Inventory()
-	own, _ := inv.Zone(s.zone)
-	to, ok := inv.Zone(zone)
-	if !ok || to.Region == own.Region || bytes == 0 {
-		return nil
-	}
-	if _, ok := inv.Link(own.Region, to.Region); !ok {
+	account, ok := s.link(zone)
+	if !ok || bytes == 0 {
 		return nil
 	}
-	account := LinkAccount(own.Region, to.Region)
 	for {
 		d := s.limiter.Admit(account, bytes)
 		if d.Admitted {
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -21,6 +22,9 @@
 	members []detector.MemberView
 	zones   []detector.ZoneView
 	slots   *scheduler.Scheduler
+	charged []string
+	doc     string
+	full    string
 }
 
 func (f *fleet) Inventory() *registrar.Inventory             { return f.inv }
@@ -29,7 +33,11 @@
 func (f *fleet) Loads(string) []scheduler.Load               { return f.slots.Loads(1) }
 func (f *fleet) Members(timer.Instant) []detector.MemberView { return f.members }
 func (f *fleet) Zones(timer.Instant) []detector.ZoneView     { return f.zones }
-func (f *fleet) Admit(string, int64) (d limiter.Decision)    { return d }
+
+func (f *fleet) Admit(account string, units int64) limiter.Decision {
+	f.charged = append(f.charged, fmt.Sprint(account, " ", units))
+	return limiter.Decision{Admitted: account != f.full}
+}
 
 func newFleet(tb testing.TB, zones, hosts int) (*fleet, *Surveyor) {
 	tb.Helper()
@@ -56,6 +64,7 @@
 		tb.Fatal(err)
 	}
 	f.inv = inv
+	f.doc = doc.String()
 	var targets []scheduler.Target
 	for i := range 4 {
 		targets = append(targets, scheduler.Target{Name: fmt.Sprint("t0-", i), Service: "s", Slots: 9})
@@ -119,7 +128,7 @@
 	now := timer.Instant(time.Minute)
 	before := s.Survey(now, q)[2]
 	choice := router.Choice{Zone: "z1", Region: "r0", Host: "h2"}
-	s.Begin(now, "s", choice, 1)
+	s.Begin(now, "s", choice)
 	f.slots.Enqueue(1, scheduler.Work{Service: "s", Idempotent: true})
 	now = now.Add(surveyPeriod / 2)
 	zones := s.Survey(now, q)
@@ -159,3 +168,45 @@
 		b.Run(name+"/route", func(b *testing.B) { benchmarkSurvey(b, size.zones, size.hosts, 0, true) })
 	}
 }
+
+// Every request that is passed to another region is charged to the caps on shifts and, with its
+// bytes, to the link; so is every answer. Nothing is passed when one of them is used up.
+func TestShiftsAreChargedToCapsAndLinks(t *testing.T) {
+	f, s := newFleet(t, 4, 4)
+	inv, err := registrar.Parse("test.toml", []byte(f.doc+`
+[[links]]
+from = "r0"
+to = "r1"
+rate = "4Gbit/s"
+rtt = "35ms"
+both = true
+[[rules]]
+kind = "cap"
+service = "s"
+from = "r0"
+to = "r1"
+rate = 5
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.inv = inv
+	shift := router.Choice{Zone: "z2", Region: "r1"}
+	near := router.Choice{Zone: "z1", Region: "r0"}
+	ok := s.Begin(1, "s", shift) && s.Send("z2", 10) && s.Begin(1, "s", near) && s.Send("z1", 10)
+	if !ok || s.Reply(t.Context(), "z2", 20) != nil || s.Reply(t.Context(), "z1", 20) != nil {
+		t.Fatal("refused")
+	}
+	want := []string{"cap/s/r0/r1 1", "link/r0/r1 10", "link/r0/r1 20"}
+	if !slices.Equal(f.charged, want) {
+		t.Errorf("charged %q, want %q", f.charged, want)
+	}
+	f.full = "cap/s/r0/r1"
+	if s.Begin(1, "s", shift) {
+		t.Error("a shift above its cap was begun")
+	}
+	f.full = "link/r0/r1"
+	if s.Send("z2", 1) {
+		t.Error("a full link was used")
+	}
+}
