assembler: tell the limiter what the platform gave

Cause: a host that starts takes its home shares only once every other host of the inventory has met it, or the platform has confirmed the plan. Nothing called limiter.Confirm. So a host that restarted while any other was dead had no home share until the dead one came back: two hosts of seven lost to each account where one had failed. Ruled out: confirming the version in force: a newer one that this host refuses may be in force elsewhere; confirming what a peer passed on, which may be older than this process. Change: the reader keeps the newest version that the platform gave to this process, refused or not; the host hands it to the limiter each round. The dead host's own share stays out of use until it comes back, which refuses 7 % of a customer at 0.9 of its rate. Hosts that aren't readers of their zone (more than two there) still wait.

--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -66,9 +66,18 @@
 		h.acknowledge(m)
 		h.suspects.Hear(now, m.Host.Name, m.Suspects)
 	}
+	h.confirm()
 	h.pull(now)
 }
 
+// confirm tells the limiter which version of the limits the platform gave to this process, so that
+// a host that starts while another one is dead does not wait for the dead one's agreement.
+func (h *Host) confirm() {
+	if version := h.reader.Offered(enforcer.DocumentInventory); version > 0 {
+		h.limiter.Confirm(version)
+	}
+}
+
 // acknowledge tells the limiter which version of the limits a host has in force.
 func (h *Host) acknowledge(m detector.MemberView) {
 	for _, d := range m.Documents {
--- a/watcher/reader.go
+++ b/watcher/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -57,11 +58,22 @@
 	failing  bool
 	// contact is the instant of the newest contact plus one; 0 stands for none.
 	contact atomic.Int64
+
+	mu      sync.Mutex
+	offered map[string]uint64
 }
 
 // NewReader returns a reader that has had no contact with the platform.
 func NewReader(cfg ReaderConfig) *Reader {
-	return &Reader{cfg: cfg}
+	return &Reader{cfg: cfg, offered: make(map[string]uint64)}
+}
+
+// Offered returns the newest version of a document that the platform gave to this process, in
+// force or not; 0 is none.
+func (r *Reader) Offered(name string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.offered[name]
 }
 
 // Contact returns the instant at which the newest answered watch was sent: the shelf was offered
@@ -135,6 +147,13 @@
 	for _, o := range l.Objects {
 		// The shelf logs a refusal; the revision moves on, so that it isn't fetched again.
 		_, _ = r.cfg.Shelf.Offer(Document(o))
+		r.note(o.Name, o.Version)
 	}
 	r.revision = l.Revision
 }
+
+func (r *Reader) note(name string, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offered[name] = max(r.offered[name], version)
+}
--- a/watcher/reader_test.go
+++ b/watcher/reader_test.go
@@ -155,6 +155,9 @@
 	if version(r.shelf) != 0 || len(r.shelf.Behind()) != 0 {
 		t.Fatalf("version %d, behind %v", version(r.shelf), r.shelf.Behind())
 	}
+	if got := r.reader.Offered(doc); got != 1 {
+		t.Fatalf("the refused version was offered, got %d", got)
+	}
 	l, err := r.client.Watch(context.Background(), DocumentPrefix, 1, 0)
 	if err != nil || len(l.Objects) != 0 {
 		t.Fatalf("would fetch %+v again, %v", l, err)
