--- a/assigner/assign_test.go
+++ b/assigner/assign_test.go
@@ -1,6 +1,7 @@
 package assigner
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -84,3 +85,25 @@
 	}
 	return false
 }
+
+// BenchmarkAssign measures the assignment of all zones, which each host makes once a second.
+func BenchmarkAssign(b *testing.B) {
+	for _, size := range []struct{ zones, hosts int }{{6, 7}, {12, 70}, {24, 400}, {92, 1600}} {
+		b.Run(fmt.Sprintf("hosts=%d", size.hosts), func(b *testing.B) {
+			var hosts []Host
+			for i := range size.hosts {
+				zone := i % size.zones
+				hosts = append(hosts, Host{
+					Name:   fmt.Sprintf("h%04d", i),
+					Zone:   fmt.Sprintf("z%02d", zone),
+					Region: fmt.Sprintf("r%02d", zone/4),
+				})
+			}
+			for b.Loop() {
+				for zone := range size.zones {
+					Assign(fmt.Sprintf("z%02d", zone), fmt.Sprintf("r%02d", zone/4), hosts)
+				}
+			}
+		})
+	}
+}
--- a/limiter/messages_test.go
+++ b/limiter/messages_test.go
@@ -148,3 +148,18 @@
 		m.tick("")
 	}
 }
+
+// BenchmarkRequests measures one host's tick at rest with 16 accounts.
+func BenchmarkRequests(b *testing.B) {
+	for _, hosts := range []int{8, 16, 32, 64} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			m := newMesh(b, hosts, 16)
+			m.until(m.names[0], "")
+			l := m.limiters[m.names[0]]
+			for b.Loop() {
+				m.now = m.now.Add(limiter.DefaultTick)
+				l.Requests()
+			}
+		})
+	}
+}
