limiter: split loans by need first and by longer demand after

Change: lenders give each claim what it needs and split the rest by a 5 s average; borrowers that hold nothing ask less often; a fall of demand is told at once; focused tests of the protocol.

--- a/limiter/borrower.go
+++ b/limiter/borrower.go
@@ -17,6 +17,8 @@
 	// renew is when the holdings are to be renewed, greet when the host is to be greeted.
 	renew timer.Instant
 	greet timer.Instant
+	// barren counts the replies in a row after which nothing was held from the peer.
+	barren int
 	// confirm asks for a request that tells the lender of shrunk holdings.
 	confirm bool
 	// borrower and taken are the newest incarnation and sequence that requests came from.
@@ -24,6 +26,11 @@
 	taken    uint64
 }
 
+// due reports whether the renewal's instant has come or shrunk holdings are to be told.
+func (p *peer) due(now timer.Instant) bool {
+	return p.confirm || !now.Before(p.renew)
+}
+
 // awaits reports whether a reply may still come.
 func (p *peer) awaits(now timer.Instant, patience time.Duration) bool {
 	return p.pending != 0 && now.Before(p.sent.Add(patience))
@@ -37,7 +44,7 @@
 	}
 	loan := &messenger.Loan{Account: a.name}
 	if borrowing {
-		loan.Demand = a.meter.demand()
+		loan.Demand, loan.Average = a.meter.state()
 	} else {
 		h.refund += a.withdraw(h.share.Burst)
 		h.share = Share{}
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -11,24 +11,31 @@
 // reserve is the part of an idle home share that its host keeps for the first requests to come.
 const reserve = 0.1
 
+// crumb is the part of a home share under which a spare part is not worth lending.
+const crumb = 0.125
+
 // claim is a borrower's demand for an account.
 type claim struct {
-	demand float64
-	until  timer.Instant
+	demand  float64
+	average float64
+	until   timer.Instant
 }
 
 // bid is what a borrower states about one account.
 type bid struct {
 	held   Share
 	tokens int64
-	demand float64
+	claim  claim
 }
 
 func bidOf(loan *messenger.Loan) bid {
 	return bid{
 		held:   Share{Rate: clamp(loan.GetRate()), Burst: clamp(loan.GetBurst())},
 		tokens: clamp(loan.GetTokens()),
-		demand: float64(loan.GetDemand()),
+		claim: claim{
+			demand:  float64(loan.GetDemand()),
+			average: float64(loan.GetAverage()),
+		},
 	}
 }
 
@@ -40,7 +47,8 @@
 func (a *account) lend(now timer.Instant, to party, b bid, cfg Config) *messenger.Loan {
 	a.settle(now)
 	held := a.release(to, b)
-	a.claim(now, to.host, b.demand, 2*cfg.Renewal)
+	b.claim.until = now.Add(2 * cfg.Renewal)
+	a.claim(now, to.host, b.claim)
 	grant := a.grant(to.host, held)
 	moved := held.Max(grant).Minus(held)
 	tokens := a.bucket.portion(moved.Burst)
@@ -83,32 +91,48 @@
 	a.resize()
 }
 
-func (a *account) claim(now timer.Instant, host string, demand float64, lifetime time.Duration) {
+func (a *account) claim(now timer.Instant, host string, c claim) {
 	for h, c := range a.claims {
 		if !now.Before(c.until) {
 			delete(a.claims, h)
 		}
 	}
 	delete(a.claims, host)
-	if demand > 0 {
-		a.claims[host] = claim{demand: demand, until: now.Add(lifetime)}
+	if c.demand > 0 {
+		a.claims[host] = c
 	}
 }
 
-// grant splits the spare part of the home share among the claims in proportion to demand.
+// grant is the part of the home share that a claim comes to.
 func (a *account) grant(host string, held Share) Share {
 	c, ok := a.claims[host]
 	if !ok {
 		return Share{}
 	}
-	total := 0.0
-	for _, other := range a.claims {
-		total += other.demand
-	}
 	kept := a.kept()
 	spare := a.home.Minus(kept)
+	if float64(spare.Rate) <= crumb*float64(a.home.Rate) {
+		return Share{}
+	}
 	free := a.home.Minus(a.lentOut()).Minus(kept)
-	return spare.fraction(c.demand / total).Min(held.Plus(free)).whole()
+	return spare.fraction(a.portion(c, spare)).Min(held.Plus(free)).whole()
+}
+
+// portion splits the spare part by demand if it is short; otherwise each claim gets what it needs,
+// and what is left is split by the longer average, so that it waits where bursts come.
+func (a *account) portion(c claim, spare Share) float64 {
+	var demand float64
+	average := a.meter.average
+	for _, other := range a.claims {
+		demand += other.demand
+		average += other.average
+	}
+	mine := float64(a.home.Rate) / float64(a.limits.Rate*scale)
+	left := float64(spare.Rate) - demand*headroom*mine
+	if left <= 0 {
+		return c.demand / demand
+	}
+	return (c.demand*headroom*mine + left*c.average/average) / float64(spare.Rate)
 }
 
 // kept is the part of the home share that the host's own demand needs.
--- a/limiter/meter.go
+++ b/limiter/meter.go
@@ -10,10 +10,12 @@
 const (
 	// smoothing is the time constant of the demand's moving average.
 	smoothing = 500 * time.Millisecond
+	// memory is the time constant of the average that bursts leave a trace in.
+	memory = 5 * time.Second
 	// headroom is how many times the demand a host wants as its rate.
 	headroom = 1.25
 	// patience is how long a host goes on borrowing after it last needed to.
-	patience = 2 * time.Second
+	patience = 10 * time.Second
 )
 
 // meter follows the demand for one account at this host.
@@ -23,6 +25,10 @@
 	short   bool
 	// rate is in thousandths of a unit a second.
 	rate float64
+	// average is the same over a longer time.
+	average float64
+	// stated is the rate that lenders were last told.
+	stated float64
 	// wanted is until when the host borrows.
 	wanted timer.Instant
 	// retry is when the next urgent request may go out, backoff the pause after it.
@@ -56,8 +62,17 @@
 
 func (m *meter) smooth(elapsed time.Duration) {
 	sample := float64(m.offered) / elapsed.Seconds()
-	weight := 1 - math.Exp(-elapsed.Seconds()/smoothing.Seconds())
-	m.rate += weight * (sample - m.rate)
+	m.rate += weight(elapsed, smoothing) * (sample - m.rate)
+	m.average += weight(elapsed, memory) * (sample - m.average)
+}
+
+func weight(elapsed, constant time.Duration) float64 {
+	return 1 - math.Exp(-elapsed.Seconds()/constant.Seconds())
+}
+
+// fell reports whether the demand is far under what lenders were told.
+func (m *meter) fell() bool {
+	return 2*m.rate < m.stated
 }
 
 // asked notes an urgent request; each one that brings nothing doubles the pause up to limit.
@@ -78,7 +93,8 @@
 	return now.Before(m.wanted)
 }
 
-// demand is the demand in thousandths of a unit a second, at least one.
-func (m *meter) demand() uint64 {
-	return uint64(max(1, m.rate))
+// state returns the demand and its longer average in thousandths of a unit a second, at least one.
+func (m *meter) state() (demand, average uint64) {
+	m.stated = m.rate
+	return uint64(max(1, m.rate)), uint64(max(1, m.average))
 }
--- /dev/null
+++ b/limiter/protocol_test.go
@@ -0,0 +1,164 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// settled returns the settlement of host0 of three with version 1 in force everywhere.
+func settled(t *testing.T, versions ...uint64) *settlement {
+	s := newSettlement("host0")
+	s.confirm(1)
+	for _, v := range versions {
+		s.add(Plan{Version: v, Hosts: names(3), Accounts: []Account{{Name: "a", Rate: 3, Burst: 3}}})
+		s.advance(0, true)
+	}
+	if versions[0] == 1 && s.settled != 1 {
+		t.Fatal("the first plan did not settle")
+	}
+	return s
+}
+
+func TestPlanSettlesOnceAllHadIt(t *testing.T) {
+	tests := []struct {
+		name string
+		tell func(s *settlement)
+		now  timer.Instant
+		want uint64
+	}{
+		{"all had it", func(s *settlement) { s.acknowledge("host1", 1, 2) }, 0, 2},
+		{"one skipped it", func(s *settlement) { s.acknowledge("host1", 1, 3) }, 0, 1},
+		{"one is older", func(s *settlement) { s.acknowledge("host1", 1, 1) }, 0, 1},
+		{"one restarted", func(s *settlement) {
+			s.acknowledge("host1", 1, 2)
+			s.acknowledge("host1", 2, 1)
+		}, 0, 1},
+		{"late news of a former process", func(s *settlement) {
+			s.acknowledge("host1", 2, 1)
+			s.acknowledge("host1", 1, 2)
+		}, 0, 1},
+		{"one stopped, its loans run", func(s *settlement) { s.stop("host1", 10) }, 9, 1},
+		{"one stopped, its loans lapsed", func(s *settlement) { s.stop("host1", 10) }, 10, 2},
+		{"a peer knows", func(s *settlement) { s.assert(2) }, 0, 2},
+		{"a peer knows of a later one", func(s *settlement) { s.assert(3) }, 0, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := settled(t, 1, 2)
+			s.acknowledge("host2", 1, 2)
+			tt.tell(s)
+			s.advance(tt.now, true)
+			if s.settled != tt.want {
+				t.Fatalf("version %d is settled, want %d", s.settled, tt.want)
+			}
+		})
+	}
+}
+
+func TestPlanIsNotInForceBeforeItsLoansFit(t *testing.T) {
+	s := settled(t, 1)
+	s.add(Plan{Version: 2, Hosts: names(3)})
+	s.advance(0, false)
+	s.assert(2)
+	if s.held != 1 || s.settled != 1 {
+		t.Fatalf("version %d is in force, %d settled", s.held, s.settled)
+	}
+}
+
+func TestFreshProcessProvesThatItIsCurrent(t *testing.T) {
+	tests := []struct {
+		name string
+		tell func(s *settlement)
+		want bool
+	}{
+		{"no news", func(*settlement) {}, false},
+		{"the platform has the same", func(s *settlement) { s.confirm(2) }, true},
+		{"the platform has a newer one", func(s *settlement) { s.confirm(3) }, false},
+		{"all hosts know this process", func(s *settlement) { s.meet("host1", 2); s.meet("host2", 1) }, true},
+		{"one host is ahead", func(s *settlement) { s.meet("host1", 3); s.meet("host2", 2) }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newSettlement("host0")
+			s.add(Plan{Version: 2, Hosts: names(3)})
+			tt.tell(s)
+			s.advance(0, true)
+			if s.confirmed != tt.want || (s.held == 2) != tt.want {
+				t.Fatalf("confirmed %v, version %d in force", s.confirmed, s.held)
+			}
+		})
+	}
+}
+
+// lending asks host1 of a fleet of two for what it can lend to host0.
+func lendingFleet(t *testing.T) (*world, *messenger.LoanRequest) {
+	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
+	w.settleDown(time.Second)
+	return w, &messenger.LoanRequest{
+		Borrower: "host0", Incarnation: 7, Sequence: 9, Version: 1,
+		Wants: []*messenger.Loan{{Account: "a", Demand: 1 << 20, Average: 1}},
+	}
+}
+
+func TestLenderTakesRequestsInOrderOnly(t *testing.T) {
+	w, req := lendingFleet(t)
+	lender := w.procs[1].limiter
+	for i, change := range []func(){
+		func() {},
+		func() { req.Sequence = 9 },
+		func() { req.Sequence = 8 },
+		func() { req.Incarnation, req.Sequence = 6, 10 },
+	} {
+		change()
+		if _, err := lender.Lend(req); (err == nil) != (i == 0) {
+			t.Fatalf("request %d: %v", i, err)
+		}
+	}
+}
+
+func TestLenderTrustsItsOwnRecordOfLoans(t *testing.T) {
+	w, req := lendingFleet(t)
+	for w.admit(w.procs[1], "a", 1).Admitted {
+	}
+	req.Wants[0] = &messenger.Loan{Account: "a", Rate: 40000, Burst: 40000, Tokens: 40000}
+	reply, err := w.procs[1].limiter.Lend(req)
+	if err != nil || reply.Grants[0].Burst != 0 {
+		t.Fatalf("%v, %v", reply, err)
+	}
+	a := w.procs[1].limiter.Snapshot().Accounts[0]
+	if a.Tokens >= scale || !a.Lent.IsZero() {
+		t.Fatalf("the lender holds %+v", a)
+	}
+}
+
+func TestLoanEndsOneTermAfterItsRequest(t *testing.T) {
+	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
+	w.settleDown(time.Second)
+	p := w.procs[0]
+	for w.admit(p, "a", 1).Admitted {
+	}
+	sent := p.limiter.cfg.Now()
+	w.tick(p)
+	w.advance(400 * time.Millisecond)
+	w.flush()
+	a := p.limiter.accounts["a"]
+	if want := sent.Add(DefaultTerm); a.lapse != want {
+		t.Fatalf("the loan lapses at %d, want %d", a.lapse, want)
+	}
+}
+
+func TestFastClockEarnsNoMore(t *testing.T) {
+	b := bucket{share: Share{Rate: 10 * scale, Burst: scale}, driftPPM: testDriftPPM}
+	earned := int64(0)
+	for i := range 100 {
+		b.advance(timer.Instant(int64(i+1) * nano / 10 * (1_000_000 + testDriftPPM) / 1_000_000))
+		earned += b.tokens
+		b.tokens = 0
+	}
+	if earned > 100*scale || earned < 99*scale {
+		t.Fatalf("earned %d thousandths in 10 s at 10 a second", earned)
+	}
+}
