--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -54,3 +54,23 @@
 		t.Fatalf("reason %q", d.Reason)
 	}
 }
+
+func TestReleaseReturnsLoansAndLendsTheWholeHomeShare(t *testing.T) {
+	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
+	leaving, staying := w.procs[0], w.procs[1]
+	for _, p := range []*proc{leaving, staying} {
+		for range 20 {
+			w.settleDown(DefaultTick)
+			for w.admit(p, "a", 1).Admitted {
+			}
+		}
+		if p == leaving {
+			leaving.limiter.Release()
+		}
+	}
+	l := leaving.limiter.Snapshot().Accounts[0]
+	s := staying.limiter.Snapshot().Accounts[0]
+	if !l.Held.IsZero() || l.Lent != l.Home || s.Held != l.Home || !s.Lent.IsZero() {
+		t.Fatalf("leaving %+v, staying %+v", l, s)
+	}
+}
--- a/limiter/protocol_test.go
+++ b/limiter/protocol_test.go
@@ -134,6 +134,27 @@
 	}
 }
 
+func TestLenderTakesBackNoMoreTokensThanBurst(t *testing.T) {
+	w, req := lendingFleet(t)
+	lender := w.procs[1]
+	reply, err := lender.limiter.Lend(req)
+	if err != nil || reply.Grants[0].Burst == 0 {
+		t.Fatalf("%v, %v", reply, err)
+	}
+	for w.admit(lender, "a", 1).Admitted {
+	}
+	req.Sequence++
+	req.Wants = reply.Grants
+	req.Wants[0].Demand = 1 << 20
+	req.Wants[0].Tokens = 40000
+	if _, err := lender.limiter.Lend(req); err != nil {
+		t.Fatal(err)
+	}
+	if a := lender.limiter.Snapshot().Accounts[0]; a.Tokens >= scale {
+		t.Fatalf("the lender holds %+v", a)
+	}
+}
+
 func TestLoanEndsOneTermAfterItsRequest(t *testing.T) {
 	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
 	w.settleDown(time.Second)
@@ -151,7 +172,7 @@
 }
 
 func TestFastClockEarnsNoMore(t *testing.T) {
-	b := bucket{share: Share{Rate: 10 * scale, Burst: scale}, driftPPM: testDriftPPM}
+	b := bucket{share: Share{Rate: 10 * scale, Burst: 2 * scale}, driftPPM: testDriftPPM}
 	earned := int64(0)
 	for i := range 100 {
 		b.advance(timer.Instant(int64(i+1) * nano / 10 * (1_000_000 + testDriftPPM) / 1_000_000))
