limiter: forget plans that a fresh process has in part

Cause: a model of the settlement of plans found that a restarted host with plans 1 and 3 could take version 1 as settled from a peer, while another host had settled 2 by the report of the host's former process; their shares then have no plan in common. A second fault was in the tests: their reference took the limits of plans that no two hosts had in common as the bound, and a long run failed on that. Ruled out: waiting for reports of all versions between, which heartbeats may skip. Change: a fresh process starts from its newest plan once it is current; a lowered limit is said to bind once all hosts have it, and the reference is now exactly the plan that bounds the sum of all shares, which is stricter.

--- a/limiter/exchange.go
+++ b/limiter/exchange.go
@@ -183,7 +183,6 @@
 		return nil, &Error{Op: "lend", Kind: KindSequence, Err: err}
 	}
 	l.settlement.acknowledge(req.GetBorrower(), req.GetIncarnation(), req.GetVersion())
-	l.rehome(now)
 	reply := &messenger.LoanReply{
 		Lender:      l.cfg.Host,
 		Incarnation: l.cfg.Incarnation,
@@ -248,7 +247,6 @@
 	l.settlement.acknowledge(host, reply.GetIncarnation(), reply.GetVersion())
 	l.settlement.meet(host, reply.GetVersion())
 	l.settlement.assert(reply.GetSettled())
-	l.rehome(now)
 	p.barren++
 	if len(reply.GetGrants()) > 0 {
 		p.barren = 0
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand"
 	"sort"
 	"time"
@@ -112,25 +113,33 @@
 	return timer.Instant(p.world.now + p.world.now/1_000_000*p.driftPPM + 1)
 }
 
-// bound sets the reference to the largest limits that may be in force somewhere.
-func (w *world) bound() {
-	lowest := uint64(len(w.plans))
+// common is a version that bounds the sum of all shares: the newest that any process holds settled,
+// or the one that all processes have in force. Loans of dead processes count until they lapse.
+func (w *world) common() uint64 {
+	settled, lowest, highest := uint64(1), uint64(math.MaxUint64), uint64(0)
 	for _, p := range w.procs {
-		if p.dead && w.now >= p.diedAt+lingering {
+		s := p.limiter.settlement
+		if p.dead && w.now >= p.diedAt+lingering || s.held == 0 {
 			continue
 		}
-		if v := p.limiter.settlement.held; v != 0 {
-			lowest = min(lowest, v)
-		}
+		settled = max(settled, s.settled)
+		lowest = min(lowest, s.held)
+		highest = max(highest, s.held)
+	}
+	if lowest == highest {
+		return highest
 	}
+	return settled
+}
+
+// bound sets the reference to the limits that the sum of all shares must keep to.
+func (w *world) bound() {
+	plan := w.plans[w.common()-1]
 	for name, r := range w.reference {
 		r.rate, r.burst = 0, 0
-		for _, plan := range w.plans[lowest-1:] {
-			for _, a := range plan.Accounts {
-				if a.Name == name {
-					r.rate = max(r.rate, a.Rate)
-					r.burst = max(r.burst, a.Burst)
-				}
+		for _, a := range plan.Accounts {
+			if a.Name == name {
+				r.rate, r.burst = a.Rate, a.Burst
 			}
 		}
 		r.tokens = min(r.tokens, r.burst*nano)
@@ -178,7 +187,7 @@
 	r := w.reference[account]
 	r.tokens -= units * nano
 	if r.tokens < 0 {
-		w.tb.Fatalf("%s admitted %d of %s: %d nano-units over the fleet's bound", p.host, units, account, -r.tokens)
+		w.tb.Fatalf("%s admitted %d of %s: %d nano-units over the bound", p.host, units, account, -r.tokens)
 	}
 	return d
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -111,7 +111,8 @@
 	}
 }
 
-// rehome brings the home shares up to date with the plans.
+// rehome brings the home shares up to date with the plans. News that can only raise them waits for
+// the next tick, since it is frequent and looks at every host.
 func (l *Limiter) rehome(now timer.Instant) {
 	opens := !l.open && !now.Before(l.usable)
 	l.open = l.open || opens
@@ -190,7 +191,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settlement.acknowledge(host, incarnation, version)
-	l.rehome(l.cfg.Now())
 }
 
 // Stopped notes the proof that all processes of a host so far have ended; for this host's own name
@@ -204,7 +204,6 @@
 	} else {
 		l.settlement.stop(host, now.Add(l.cfg.hold()))
 	}
-	l.rehome(now)
 }
 
 // Confirm notes that the platform gave the plan version after this process started.
@@ -212,7 +211,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settlement.confirm(version)
-	l.rehome(l.cfg.Now())
 }
 
 // Version returns the plan version that this host has in force, for its heartbeat.
--- a/limiter/protocol_test.go
+++ b/limiter/protocol_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+func TestPlanHistoryIsBounded(t *testing.T) {
+	s := settled(t, 1)
+	for v := uint64(2); v <= 3*maxPlans; v++ {
+		limit := int64(30)
+		if v == 5 {
+			limit = 9
+		}
+		s.add(Plan{Version: v, Hosts: names(3), Accounts: []Account{{Name: "a", Rate: limit, Burst: limit}}})
+		s.acknowledge("host1", 1, v)
+		s.advance(0, true)
+	}
+	if len(s.plans) > maxPlans || len(s.reporters["host1"].held) > maxPlans {
+		t.Fatalf("%d plans, %d reports", len(s.plans), len(s.reporters["host1"].held))
+	}
+	if home := s.home("a"); home.Burst != scale {
+		t.Fatalf("home share %+v is not the least of all plans", home)
+	}
+	s.acknowledge("host2", 1, 3*maxPlans)
+	s.advance(0, true)
+	if home := s.home("a"); home.Burst != 10*scale {
+		t.Fatalf("home share %+v after the newest plan settled", home)
+	}
+}
+
 func TestPlanIsNotInForceBeforeItsLoansFit(t *testing.T) {
 	s := settled(t, 1)
 	s.add(Plan{Version: 2, Hosts: names(3)})
@@ -93,7 +117,24 @@
 	}
 }
 
-// lending asks host1 of a fleet of two for what it can lend to host0.
+func TestFreshProcessForgetsPlansThatItHasInPart(t *testing.T) {
+	s := newSettlement("host0")
+	for _, v := range []uint64{2, 4} {
+		s.add(Plan{Version: v, Hosts: names(3), Accounts: []Account{{Name: "a", Rate: 3, Burst: 3}}})
+	}
+	s.confirm(4)
+	s.advance(0, true)
+	s.assert(2)
+	if s.settled != 0 || !s.home("a").IsZero() {
+		t.Fatalf("version %d is settled with home share %+v", s.settled, s.home("a"))
+	}
+	s.assert(4)
+	if s.settled != 4 || s.home("a").IsZero() {
+		t.Fatalf("version %d is settled with home share %+v", s.settled, s.home("a"))
+	}
+}
+
+// lendingFleet returns a fleet of two and a request of host0 for what host1 can lend.
 func lendingFleet(t *testing.T) (*world, *messenger.LoanRequest) {
 	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
 	w.settleDown(time.Second)
--- a/limiter/settlement.go
+++ b/limiter/settlement.go
@@ -33,6 +33,8 @@
 	// plans are ascending; the first is the settled one once settled is not zero.
 	plans   []planned
 	settled uint64
+	// merged is the newest version that was merged with older ones.
+	merged uint64
 	// held is the newest version that this host's shares and loans fit into.
 	held uint64
 	// confirmed tells that no plan above ours can be settled without this incarnation.
@@ -100,6 +102,8 @@
 		merged.homes[name] = home.Min(older.homes[name])
 	}
 	s.plans = append([]planned{merged}, s.plans[2:]...)
+	s.merged = newer.version
+	s.forget(newer.version + 1)
 }
 
 func (s *settlement) reporter(host string) *reporter {
@@ -120,7 +124,7 @@
 	if incarnation > r.incarnation {
 		*r = reporter{incarnation: incarnation, held: make(map[uint64]bool)}
 	}
-	if version >= s.settled {
+	if version >= s.settled && version > s.merged {
 		r.held[version] = true
 	}
 }
@@ -163,7 +167,9 @@
 // advance settles the newest plan that it can and reports whether anything changed.
 func (s *settlement) advance(now timer.Instant, fits bool) bool {
 	before := *s
-	s.confirmed = s.confirmed || s.current()
+	if !s.confirmed && s.current() {
+		s.begin()
+	}
 	if s.confirmed && fits {
 		s.held = s.newest()
 	}
@@ -175,8 +181,18 @@
 	return s.confirmed != before.confirmed || s.held != before.held || s.settled != before.settled
 }
 
+// begin forgets the plans before the newest one: a former process of this host may have reported
+// one between them that this process skipped.
+func (s *settlement) begin() {
+	s.confirmed = true
+	s.plans = s.plans[len(s.plans)-1:]
+}
+
 // current reports whether no plan above ours can be in force anywhere without our agreement.
 func (s *settlement) current() bool {
+	if len(s.plans) == 0 {
+		return false
+	}
 	if s.platform != 0 && s.newest() >= s.platform {
 		return true
 	}
@@ -217,15 +233,16 @@
 		}
 	}
 	s.plans = kept
-	for _, r := range s.reporters {
-		r.forget(version)
-	}
+	s.forget(version)
 }
 
-func (r *reporter) forget(below uint64) {
-	for v := range r.held {
-		if v < below {
-			delete(r.held, v)
+// forget drops reports of versions that cannot be settled any more.
+func (s *settlement) forget(below uint64) {
+	for _, r := range s.reporters {
+		for v := range r.held {
+			if v < below {
+				delete(r.held, v)
+			}
 		}
 	}
 }
