router: let own answers earn room while reports are absent

Cause: without reports a host passed on at most what it had in flight at the last one; with one region's targets lost at that moment it refused what other zones had room for. Ruled out: a fixed standing part of each zone's slots (nothing says that they are free). Change: Flight takes what a request tells when it ends. Without reports a round of answers earns room for one more request, refusals within a second halve the room once. The standing rule ranks own results above silence.

--- a/carrier/outcome.go
+++ b/carrier/outcome.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/router"
 )
 
 // Reason is the short cause of an answer that is not a target's.
@@ -80,17 +81,20 @@
 	return Result{Outcome: messenger.Outcome_OUTCOME_UNKNOWN, Status: status, Reason: reason}
 }
 
-// refused reports whether the request was not run for want of room or of a usable target. A
-// deadline does not count: it may have been too short for any zone.
-func (r Result) refused() bool {
+// feedback is what the result tells of the zone that the request was passed to. A deadline says
+// nothing: it may have been too short for any zone.
+func (r Result) feedback() router.Feedback {
+	if r.Outcome == messenger.Outcome_OUTCOME_ANSWERED {
+		return router.FeedbackAnswered
+	}
 	if r.Outcome != messenger.Outcome_OUTCOME_NOT_RUN {
-		return false
+		return router.FeedbackNone
 	}
 	switch r.Reason {
 	case ReasonCapacity, ReasonTarget, ReasonPeer, ReasonNotReady:
-		return true
+		return router.FeedbackRefused
 	default:
-		return false
+		return router.FeedbackNone
 	}
 }
 
--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -48,9 +48,8 @@
 	// Begin takes a request that is to be passed to another zone out of the caps on shifts and
 	// links; it reports false when one of them is used up.
 	Begin(now timer.Instant, service string, choice router.Choice, bytes int64) bool
-	// End tells that the request that Begin counted has ended, and whether the zone had no room
-	// for it.
-	End(now timer.Instant, service string, choice router.Choice, refused bool)
+	// End tells that the request that Begin counted has ended, and what it tells of the zone.
+	End(now timer.Instant, service string, choice router.Choice, feedback router.Feedback)
 	// Reply waits until the link to another region has room for an answer.
 	Reply(ctx context.Context, zone string, bytes int64) error
 }
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -65,7 +65,7 @@
 	}
 	w.Zone = choice.Zone
 	r := c.pass(ctx, w, choice.Host, messenger.Role_ROLE_CARRY)
-	c.parts.Router.End(c.now(), w.Service, choice, r.refused())
+	c.parts.Router.End(c.now(), w.Service, choice, r.feedback())
 	return r
 }
 
--- a/router/decide_test.go
+++ b/router/decide_test.go
@@ -194,3 +194,25 @@
 		t.Errorf("%d without news, %d before", got, held)
 	}
 }
+
+func TestOwnAnswersEarnRoomWithoutReports(t *testing.T) {
+	var f Flight
+	now := timer.Instant(time.Hour)
+	answer := func(n int) {
+		for range n {
+			f.Begin(now)
+			f.End(now, FeedbackAnswered)
+		}
+	}
+	answer(1 + 2 + 3 + 4)
+	if got := f.Held(now, Load{}); got != 4 {
+		t.Errorf("%d after four rounds of answers", got)
+	}
+	for range 5 {
+		f.Begin(now)
+		f.End(now, FeedbackRefused)
+	}
+	if got := f.Held(now, Load{}); got != 2 {
+		t.Errorf("%d after refusals at one instant", got)
+	}
+}
--- a/router/flight.go
+++ b/router/flight.go
@@ -11,6 +11,20 @@
 	flightPeriod = 100 * time.Millisecond
 	// flightSamples covers MaxReportAge.
 	flightSamples = int(MaxReportAge/flightPeriod) + 1
+	// refusalPeriod is the time in which refusals count as one.
+	refusalPeriod = time.Second
+)
+
+// Feedback is what a request that has ended tells of the zone that it was passed to.
+type Feedback uint8
+
+const (
+	// FeedbackNone is a request that says nothing about the zone.
+	FeedbackNone Feedback = iota
+	// FeedbackAnswered is a request that the zone answered.
+	FeedbackAnswered
+	// FeedbackRefused is a request that the zone had no room for.
+	FeedbackRefused
 )
 
 // Flight counts the requests that this host has in flight to one availability zone, and remembers
@@ -18,6 +32,7 @@
 type Flight struct {
 	count   int
 	held    int
+	answers int
 	refused timer.Instant
 	next    int
 	samples [flightSamples]flightSample
@@ -35,10 +50,32 @@
 	f.count++
 }
 
-// End counts a request out.
-func (f *Flight) End(now timer.Instant) {
+// End counts a request out and takes in what it tells.
+func (f *Flight) End(now timer.Instant, b Feedback) {
 	f.sample(now)
 	f.count--
+	switch b {
+	case FeedbackAnswered:
+		f.answer()
+	case FeedbackRefused:
+		f.refuse(now)
+	}
+}
+
+// answer earns room for one more request after a round of answers; it counts without reports.
+func (f *Flight) answer() {
+	f.answers++
+	if f.answers > f.held {
+		f.held++
+		f.answers = 0
+	}
+}
+
+func (f *Flight) refuse(now timer.Instant) {
+	if now.Sub(f.refused) >= refusalPeriod {
+		f.held /= 2
+	}
+	f.refused = now
 }
 
 // Count is the number of requests in flight.
@@ -46,8 +83,8 @@
 	return f.count
 }
 
-// Held is the number of requests that were in flight when a report of the given age was made. A
-// report that counts as absent leaves the number as it was.
+// Held is the number of requests that were in flight when a report of the given age was made.
+// Without a report it is what it was, but for what own answers earn and refusals cost.
 func (f *Flight) Held(now timer.Instant, l Load) int {
 	if !l.fresh() {
 		return f.held
@@ -64,11 +101,6 @@
 	return f.held
 }
 
-// Refuse notes that the zone refused a request.
-func (f *Flight) Refuse(now timer.Instant) {
-	f.refused = now
-}
-
 // Refused reports whether the zone refused a request after the report was made, or lately where
 // there is no report.
 func (f *Flight) Refused(now timer.Instant, l Load) bool {
--- a/router/measure_test.go
+++ b/router/measure_test.go
@@ -16,6 +16,7 @@
 	{name: "targets of one region lost, cold caches", load: 0.55, lostRegion: true, cold: 3},
 	{name: "every zone at 130 %", load: 1.3},
 	{name: "one zone hot, no reports for 10 s", load: 0.6, hot: 1.5, silent: 10 * time.Second},
+	{name: "targets of one region lost, no reports for 10 s", load: 0.55, lostRegion: true, silent: 10 * time.Second},
 	{name: "one zone hot, another falsely free", load: 0.6, hot: 1.5, falseFree: true},
 }
 
--- a/router/model_test.go
+++ b/router/model_test.go
@@ -430,10 +430,11 @@
 }
 
 func (h *modelHost) end(c Choice, ok bool) {
-	h.flight(c.Zone).End(h.m.now)
+	feedback := FeedbackAnswered
 	if !ok {
-		h.flight(c.Zone).Refuse(h.m.now)
+		feedback = FeedbackRefused
 	}
+	h.flight(c.Zone).End(h.m.now, feedback)
 }
 
 // survey does what the surveyor does: own state is fresh, other zones' reports lag.
--- a/router/state.go
+++ b/router/state.go
@@ -24,7 +24,7 @@
 	Load Load
 	// InFlight is the number of requests that this host has passed to the zone.
 	InFlight int
-	// Held is the number of those when the zone's report was made.
+	// Held is the number of those when the zone's report was made; see Flight.Held.
 	Held int
 	// Refused says that the zone refused a request of this host after its report was made.
 	Refused bool
@@ -107,14 +107,14 @@
 
 // allotment is the number of requests that this host may have in flight to the zone. It is what
 // the host had there when the report was made and its part of the slots that were free then, so
-// that all senders together, who act on the same report, do not exceed them. Without news it is
-// what the host had when there was news, and after a refusal half of that.
+// that all senders together, who act on the same report, do not exceed them. After a refusal it is
+// half of what the host had, and without news what it held, which own answers change.
 func (z *Zone) allotment() int {
 	switch {
-	case z.Refused:
-		return max(z.Held/2, minAllotment)
 	case !z.Load.fresh():
 		return max(z.Held, minAllotment)
+	case z.Refused:
+		return max(z.Held/2, minAllotment)
 	}
 	part := z.Load.free() * int(z.RTT+z.Load.service()) / int(z.Load.service()) / max(z.Senders, 1)
 	if z.Load.free() > 0 {
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -158,15 +158,13 @@
 	return true
 }
 
-// End counts a request out; refused says that the zone had no room for it.
-func (s *Surveyor) End(now timer.Instant, service string, choice router.Choice, refused bool) {
+// End counts a request out with what it tells of the zone.
+func (s *Surveyor) End(
+	now timer.Instant, service string, choice router.Choice, feedback router.Feedback,
+) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f := s.flight(service, choice.Zone)
-	f.End(now)
-	if refused {
-		f.Refuse(now)
-	}
+	s.flight(service, choice.Zone).End(now, feedback)
 }
 
 func (s *Surveyor) flight(service, zone string) *router.Flight {
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -126,7 +126,7 @@
 	if zones[0].Load.Busy != 1 || zones[2].InFlight != 1 || zones[2].Load.Age != before.Load.Age+surveyPeriod/2 {
 		t.Fatalf("%+v", zones)
 	}
-	s.End(now, "s", choice, true)
+	s.End(now, "s", choice, router.FeedbackRefused)
 	if after := s.Survey(now, q)[2]; after.InFlight != 0 || !after.Refused {
 		t.Fatalf("%+v", after)
 	}
