--- a/surveyor/reports.go
+++ b/surveyor/reports.go
@@ -19,6 +19,9 @@
 	sums map[site]router.Load
 	// hosts are each zone's own hosts that are not known to have ended.
 	hosts map[string][]string
+	// direct are the zones of which some host is heard directly; their sums are left out, since they
+	// count hosts that are joining.
+	direct map[string]bool
 	// peers counts each zone's hosts that may pass requests on.
 	peers map[string]int
 	// roomy counts those of them whose own slots of a service are not short.
@@ -33,12 +36,13 @@
 
 func newReports(now timer.Instant, m Members) *reports {
 	r := &reports{
-		at:    now,
-		sites: make(map[site]*siteReport),
-		sums:  make(map[site]router.Load),
-		hosts: make(map[string][]string),
-		peers: make(map[string]int),
-		roomy: make(map[site]int),
+		at:     now,
+		sites:  make(map[site]*siteReport),
+		sums:   make(map[site]router.Load),
+		hosts:  make(map[string][]string),
+		peers:  make(map[string]int),
+		direct: make(map[string]bool),
+		roomy:  make(map[site]int),
 	}
 	for _, v := range m.Members(now) {
 		r.addMember(v)
@@ -57,6 +61,7 @@
 		r.addPeer(m)
 	}
 	r.hosts[m.Host.Zone] = append(r.hosts[m.Host.Zone], m.Host.Name)
+	r.direct[m.Host.Zone] = r.direct[m.Host.Zone] || len(m.Loads) > 0
 	if m.State != detector.StateLive {
 		return
 	}
@@ -106,7 +111,7 @@
 }
 
 func (r *reports) addZone(z detector.ZoneView) {
-	if z.State != detector.StateLive {
+	if z.State != detector.StateLive || r.direct[z.Name] {
 		return
 	}
 	for _, l := range z.Loads {
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -96,6 +96,17 @@
 	}
 }
 
+func TestZoneOfJoiningHostsHasNoReport(t *testing.T) {
+	f, s := newFleet(t, 6, 12)
+	f.zones = []detector.ZoneView{{Name: "z3", State: detector.StateLive, Loads: f.members[5].Loads}}
+	f.members[5].State = detector.StateJoining // h6 in z3
+	f.members[6].State = detector.StateJoining // h7 in z3
+	z := s.Survey(1, router.Query{Service: "s"})[4]
+	if z.Name != "z3" || z.Load.Known || len(z.Hosts) != 2 {
+		t.Fatalf("%+v", z)
+	}
+}
+
 func TestSendersAreHostsThatAreShort(t *testing.T) {
 	f, s := newFleet(t, 6, 12)
 	f.members[5].Loads = []*messenger.Load{{Service: "s", Slots: 18, Ready: 18, Busy: 18}} // h6 in z3
