--- a/carrier/parts.go
+++ b/carrier/parts.go
@@ -50,9 +50,8 @@
 	// Begin takes a request that is to be passed to another zone out of the caps on shifts; it
 	// reports false when one of them is used up.
 	Begin(now timer.Instant, service string, choice router.Choice) bool
-	// End tells that the request that Begin counted has ended, and whether the zone had no room
-	// for it.
-	End(now timer.Instant, service string, choice router.Choice, refused bool)
+	// End tells that the request that Begin counted has ended, and what it tells of the zone.
+	End(now timer.Instant, service string, choice router.Choice, feedback router.Feedback)
 	// Send takes what is sent to another zone out of the link to its region; it reports false when
 	// the link is full.
 	Send(zone string, bytes int64) bool
