--- a/limiter/protocol_test.go
+++ b/limiter/protocol_test.go
@@ -224,3 +224,38 @@
 		t.Fatalf("earned %d thousandths in 10 s at 10 a second", earned)
 	}
 }
+
+func TestLentTokensLeaveTheLender(t *testing.T) {
+	w, req := lendingFleet(t)
+	lender := w.procs[1].limiter
+	before := lender.Snapshot().Accounts[0].Tokens
+	reply, err := lender.Lend(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if after := lender.Snapshot().Accounts[0].Tokens; after+int64(reply.Grants[0].Tokens) != before {
+		t.Fatalf("%d tokens became %d and %d", before, after, reply.Grants[0].Tokens)
+	}
+}
+
+func TestReturnedTokensLeaveTheBorrower(t *testing.T) {
+	w := fleet(t, 2, Account{Name: "a", Rate: 100, Burst: 100})
+	borrower := w.procs[0]
+	w.settleDown(2 * time.Second)
+	for w.admit(borrower, "a", 1).Admitted {
+	}
+	w.round()
+	w.settleDown(2 * time.Second)
+	w.admit(borrower, "a", 60)
+	before := borrower.limiter.Snapshot().Accounts[0].Tokens
+	borrower.limiter.Release()
+	var asks []Ask
+	for len(asks) == 0 {
+		w.advance(DefaultTick)
+		asks = borrower.limiter.Requests()
+	}
+	back := int64(asks[0].Request.Wants[0].Tokens)
+	if after := borrower.limiter.Snapshot().Accounts[0].Tokens; back == 0 || after+back > before+20*scale {
+		t.Fatalf("%d tokens became %d and %d", before, after, back)
+	}
+}
