limiter: lend whole units of small shares

Cause: TestSmallCustomerIsServedAtEveryHost: a customer with rate and burst 2 on 4 hosts was never served by the two hosts without a seat. The lender kept a tenth of its home share in reserve, which cut its only unit to nothing, and portions of less than a unit were rounded down for every claim. Ruled out: fractions of units in admission; an admission of less than a unit means nothing. Change: no reserve where it would be less than a unit; the strongest claim gets the whole spare part when its portions are less than a unit. Heartbeats carry the limiter's version of the limits, not the document's.

--- a/assembler/distribution.go
+++ b/assembler/distribution.go
@@ -89,6 +89,9 @@
 func toVersions(in []*messenger.DocumentVersion) []watcher.Version {
 	out := make([]watcher.Version, 0, len(in))
 	for _, d := range in {
+		if d.GetName() == versionOfLimits {
+			continue
+		}
 		out = append(out, watcher.Version{Name: d.GetName(), Version: d.GetVersion()})
 	}
 	return out
--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -10,10 +10,16 @@
 	"github.com/fescuethread/fescuethread/timer"
 )
 
+// versionOfLimits names the version of the limits that a host has in force; it follows the version
+// of the inventory once the limiter's shares do.
+const versionOfLimits = "limits"
+
 // Describe sets what the own heartbeat says.
 func (h *Host) Describe(now timer.Instant, t *detector.Table) {
 	t.SetState(h.heartbeatState())
-	t.SetDocuments(h.enforcer.Versions())
+	t.SetDocuments(append(h.enforcer.Versions(), &messenger.DocumentVersion{
+		Name: versionOfLimits, Version: h.limiter.Version(),
+	}))
 	t.SetLoads(h.loads())
 	t.SetSuspects(h.suspects.Tell(now))
 	if at, ok := h.reader.Contact(); ok {
@@ -81,7 +87,7 @@
 // acknowledge tells the limiter which version of the limits a host has in force.
 func (h *Host) acknowledge(m detector.MemberView) {
 	for _, d := range m.Documents {
-		if d.GetName() == enforcer.DocumentInventory {
+		if d.GetName() == versionOfLimits {
 			h.limiter.Acknowledge(m.Host.Name, m.Incarnation, d.GetVersion())
 		}
 	}
--- a/carrier/admit.go
+++ b/carrier/admit.go
@@ -10,7 +10,7 @@
 	// admissionStep is the time between two looks at a customer's rate, and admissionLooks the
 	// number of looks; together they last for as long as idle shares of other hosts take to arrive.
 	admissionStep  = 50 * time.Millisecond
-	admissionLooks = 6
+	admissionLooks = 10
 	// maxWaiting bounds the requests that wait.
 	maxWaiting = 256
 )
--- a/limiter/lender.go
+++ b/limiter/lender.go
@@ -114,8 +114,24 @@
 	if !a.spares() {
 		return Share{}
 	}
-	free := a.home.Minus(a.lentOut()).Minus(kept)
-	return spare.fraction(a.portion(c, spare)).Min(held.Plus(free)).whole()
+	most := held.Plus(a.home.Minus(a.lentOut()).Minus(kept))
+	grant := spare.fraction(a.portion(c, spare)).Min(most).whole()
+	if grant.IsZero() && a.strongest() == host {
+		return spare.Min(most).whole()
+	}
+	return grant
+}
+
+// strongest is the claim that gets the whole spare part when its portions are less than a unit.
+func (a *account) strongest() string {
+	best := ""
+	for host, c := range a.claims {
+		top := a.claims[best]
+		if best == "" || c.demand > top.demand || c.demand == top.demand && host < best {
+			best = host
+		}
+	}
+	return best
 }
 
 // spares reports whether a part of the home share is worth lending, be it lent already or not.
@@ -150,6 +166,15 @@
 		return a.home
 	}
 	f := a.meter.rate * headroom / float64(a.home.Rate)
-	f = math.Min(1, math.Max(reserve, f))
+	f = math.Min(1, math.Max(a.reserve(), f))
 	return a.home.fraction(f)
 }
+
+// reserve is nothing on a home share of which the reserved part would be less than a unit: it
+// could admit nothing here and would keep a whole unit from where it is needed.
+func (a *account) reserve() float64 {
+	if float64(a.home.Burst)*reserve < scale {
+		return 0
+	}
+	return reserve
+}
