--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,9 @@
 GOBIN := $(shell go env GOPATH)/bin
 export PATH := $(GOBIN):$(PATH)
 
-.PHONY: all build tools test unit lint format schema spec demo
+PROOFS := caps regions keys rates answers refusals once targets stops configuration
+
+.PHONY: all build tools test unit lint format schema spec demo proofs $(PROOFS:%=prove-%)
 
 all: build
 
@@ -38,3 +40,45 @@
 
 demo: build
 	bash demo/run
+
+# One target for each promise of docs/PROOFS.md, in its order.
+proofs: $(PROOFS:%=prove-%)
+
+prove-caps: spec
+	go test -count=1 ./limiter
+	go test -count=1 ./surveyor -run 'Shifts'
+
+prove-regions:
+	go test -count=1 ./router
+	go test -count=1 ./scheduler -run 'SlotsAre'
+	go test -count=1 ./prover -run 'SlotsAre|ZoneWithout'
+
+prove-keys:
+	go test -count=1 ./authenticator ./forwarder
+	go test -count=1 ./prover -run 'Withdraw|Isolated|OutageKeeps|Separate'
+
+prove-rates: spec
+	go test -count=1 ./limiter
+	go test -count=1 ./prover -run 'RateHolds|SmallCustomer'
+
+prove-answers:
+	go test -count=1 ./exchanger ./server
+
+prove-refusals: spec
+	go test -count=1 ./carrier
+
+prove-once: spec
+	go test -count=1 ./identifier
+	go test -count=1 ./prover -run 'Operation'
+
+prove-targets:
+	go test -count=1 ./drainer
+	go test -count=1 ./prover -run 'Target'
+
+prove-stops:
+	go test -count=1 ./drainer
+	go test -count=1 ./prover -run 'Graceful|StoppedHost'
+
+prove-configuration: spec
+	go test -count=1 ./storer ./watcher ./applier
+	go test -count=1 ./prover -run 'Apply|Replaced'
