carrier: wait for room in other zones instead of refusing at once

Ruled out: passing on regardless of the allotment, which overloads a zone whose report is old; a larger start of the ramp, which only moves the threshold. Change: when a decision has nothing to try and some zone is left out for the allotment alone, the request waits up to 250 ms, in steps of 10 ms and within the bound on waiting requests, for room. Conclusion: a full allotment costs a short wait, not a refusal.

--- a/carrier/carrier_test.go
+++ b/carrier/carrier_test.go
@@ -99,3 +99,17 @@
 		}
 	}
 }
+
+// A host that has its whole allotment in flight waits for room; it refuses only when none comes.
+func TestRequestsWaitForRoomInOtherZones(t *testing.T) {
+	w, c := newWorld(t)
+	w.fullLooks = roomLooks
+	if out := w.send(c, "GET", ""); out.Code != http.StatusOK {
+		t.Errorf("room on the last look: %d %s", out.Code, out.Body)
+	}
+	w.fullLooks = roomLooks + 1
+	out := w.send(c, "GET", "")
+	if out.Code != http.StatusServiceUnavailable || out.Header().Get(HeaderOutcome) != "not run" {
+		t.Errorf("no room: %d %s", out.Code, out.Body)
+	}
+}
--- a/carrier/fakes_test.go
+++ b/carrier/fakes_test.go
@@ -43,8 +43,10 @@
 	refuse bool
 	stale  bool
 	zones  []string
-	snap   *Snapshot
-	key    string
+	// fullLooks is the number of decisions that find no room.
+	fullLooks int
+	snap      *Snapshot
+	key       string
 }
 
 func (w *world) next() fate {
@@ -68,6 +70,11 @@
 }
 
 func (w *world) Route(timer.Instant, router.Query) router.Decision {
+	if w.fullLooks > 0 {
+		w.fullLooks--
+		full := router.Omission{Zone: "west-a", Reason: router.OmitAllotment}
+		return router.Decision{Passed: []router.Omission{full}}
+	}
 	d := router.Decision{Choices: []router.Choice{{Zone: "east-a"}}}
 	for _, z := range w.zones {
 		d.Choices = append(d.Choices, router.Choice{Zone: z, Host: "west-a-1"})
--- a/carrier/run.go
+++ b/carrier/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,9 +24,7 @@
 func (c *Carrier) run(ctx context.Context, w Work) Result {
 	now := c.now()
 	c.parts.Budget.First(now, w.Customer)
-	decision := c.parts.Router.Route(now, router.Query{
-		Service: w.Service, Customer: w.Customer,
-	})
+	decision := c.route(ctx, w)
 	result := notRun(http.StatusServiceUnavailable, ReasonCapacity)
 	mayHaveRun := false
 	for i, choice := range decision.Choices {
@@ -42,6 +41,37 @@
 	return result
 }
 
+const (
+	// roomStep is the time between two looks for room in other zones, and roomLooks the number of
+	// looks; together they last for a quarter of a second.
+	roomStep  = 10 * time.Millisecond
+	roomLooks = 25
+)
+
+// route orders the zones. When all that could serve have this host's allotment in flight, it waits
+// a little for a request of its own to end: there is room, and a refusal would be wrong.
+func (c *Carrier) route(ctx context.Context, w Work) router.Decision {
+	q := router.Query{Service: w.Service, Customer: w.Customer}
+	d := c.parts.Router.Route(c.now(), q)
+	if !d.LacksRoom() {
+		return d
+	}
+	defer c.waiting.Add(-1)
+	if c.waiting.Add(1) > maxWaiting {
+		return d
+	}
+	for range roomLooks {
+		if c.parts.Pauser.Pause(ctx, roomStep) != nil {
+			return d
+		}
+		d = c.parts.Router.Route(c.now(), q)
+		if !d.LacksRoom() {
+			return d
+		}
+	}
+	return d
+}
+
 // tryAgain reports whether a further try is made, once its wait has passed.
 func (c *Carrier) tryAgain(ctx context.Context, w Work, r Result, tries int) bool {
 	if ctx.Err() != nil || !mayRepeat(r, tries) {
--- a/router/decision.go
+++ b/router/decision.go
@@ -1,6 +1,9 @@
 package router
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Query is the request to route.
 type Query struct {
@@ -48,6 +51,15 @@
 	Passed []Omission
 }
 
+// LacksRoom reports whether there is nothing to try, but a zone that only the sender's allotment
+// leaves out.
+func (d Decision) LacksRoom() bool {
+	if len(d.Choices) > 0 {
+		return false
+	}
+	return slices.ContainsFunc(d.Passed, func(o Omission) bool { return o.Reason == OmitAllotment })
+}
+
 // Omission is a zone that a decision leaves out.
 type Omission struct {
 	// Zone is the availability zone.
