assembler: take the platform's list as the proof that a host stopped

Cause: nothing told the limiter that a host had stopped, so after a host died no later version of the limits settled and its part of each rate stayed unused, even when the operators had removed it. Ruled out: silence alone, which a cut or pause brings too; absence alone, since the list lags and a new host is not shown yet. Change: a host that the list has shown and shows no longer counts as gone; together with its silence that is the proof. A removed host's share returns to the others. Conclusion: only readers of the platform (two a zone) have the proof; hosts beyond those wait.

--- a/assembler/distribution.go
+++ b/assembler/distribution.go
@@ -38,6 +38,7 @@
 	s := h.settings
 	random := func() *rand.Rand { return rand.New(rand.NewSource(int64(h.incarnation))) }
 	h.store = storer.New("http://"+s.Platform.Address, h.client, s.Platform.Timeout.Std())
+	h.roll = newRoll()
 	h.shelf = watcher.NewShelf(enforcer.Checker{}, h.log)
 	h.reader = watcher.NewReader(watcher.ReaderConfig{
 		Platform: h.store,
@@ -149,16 +150,5 @@
 		h.log.Log(eventListFailed, logger.F("cause", err.Error()))
 		return
 	}
-	hosts := make([]detector.ListedHost, 0, len(listed))
-	for _, host := range listed {
-		hosts = append(hosts, detector.ListedHost{Name: host.Name, State: listedState(host.State)})
-	}
-	h.detector.Listed(timer.Now(), hosts)
-}
-
-func listedState(s storer.HostState) detector.Listed {
-	if s == storer.HostLeaving {
-		return detector.ListedLeaving
-	}
-	return detector.ListedLive
+	h.detector.Listed(timer.Now(), h.roll.read(listed))
 }
--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -73,9 +73,21 @@
 		h.suspects.Hear(now, m.Host.Name, m.Suspects)
 	}
 	h.confirm()
+	h.acceptStops(now)
 	h.pull(now)
 }
 
+// acceptStops tells the limiter which hosts have surely stopped: those that the platform's list no
+// longer shows and that are silent. Without the silence a lagging list could miss a new process.
+func (h *Host) acceptStops(now timer.Instant) {
+	for _, name := range h.roll.goneHosts() {
+		state := h.detector.State(now, name)
+		if state == detector.StateDead || state == detector.StateUnknown {
+			h.limiter.Stopped(name)
+		}
+	}
+}
+
 // confirm tells the limiter which version of the limits the platform gave to this process, so that
 // a host that starts while another one is dead does not wait for the dead one's agreement.
 func (h *Host) confirm() {
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -86,6 +86,7 @@
 	forwarder *forwarder.Forwarder
 	enforcer  *enforcer.Enforcer
 	store     *storer.Client
+	roll      *roll
 	shelf     *watcher.Shelf
 	reader    *watcher.Reader
 	puller    *watcher.Puller
--- a/prover/failure_test.go
+++ b/prover/failure_test.go
@@ -245,3 +245,24 @@
 		t.Errorf("the request is still run: %+v", refused)
 	}
 }
+
+// A host dies, the platform's list shows it gone, and the operators take it out of the inventory:
+// the others then hold the whole of a customer's rate.
+func TestShareOfARemovedHostReturns(t *testing.T) {
+	f := newFleet(t, smallFleet())
+	for _, h := range f.hosts {
+		f.list(h.name, "live")
+	}
+	removed := f.hosts[3]
+	f.eventually("the list is read", func() bool { return f.calls().Reads > 20 })
+	removed.signal(t, syscall.SIGKILL)
+	f.list(removed.name, "gone")
+	f.run("apply", f.withoutHost(removed))
+	f.eventually("the others hold the whole rate", func() bool {
+		sum := 0.0
+		for _, h := range f.hosts[:3] {
+			sum += f.rateOf(h, "customer/mill")
+		}
+		return sum > float64(f.spec.rate)-1
+	})
+}
--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -498,3 +498,79 @@
 	}
 	return ""
 }
+
+// list puts a host into the platform's list of hosts.
+func (f *fleet) list(name, state string) {
+	f.t.Helper()
+	r, err := http.NewRequest(http.MethodPut, "http://"+f.platform+"/v1/hosts/"+name, strings.NewReader(state))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := f.client.Do(r)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		f.t.Fatalf("listing %s: status %d", name, resp.StatusCode)
+	}
+}
+
+// calls is what the platform counted.
+type calls struct {
+	Reads int `json:"reads"`
+}
+
+func (f *fleet) calls() calls {
+	f.t.Helper()
+	var c calls
+	resp, err := f.client.Get("http://" + f.platform + "/control/calls")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err := json.NewDecoder(resp.Body).Decode(&c); err != nil {
+		f.t.Fatal(err)
+	}
+	return c
+}
+
+// withoutHost writes the inventory without a host.
+func (f *fleet) withoutHost(h *host) string {
+	f.t.Helper()
+	data, err := os.ReadFile(f.inventory)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	text := string(data)
+	start := strings.Index(text, fmt.Sprintf("[[hosts]]\nname = %q", h.name))
+	end := start + strings.Index(text[start+1:], "[[") + 1
+	path := filepath.Join(f.dir, "without.toml")
+	if err := os.WriteFile(path, []byte(text[:start]+text[end:]), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// rateOf returns a host's share of an account's rate.
+func (f *fleet) rateOf(h *host, account string) float64 {
+	out, err := f.command("status", "--admin", h.admin, "--output", "json")
+	if err != nil {
+		return 0
+	}
+	var status struct {
+		Accounts []struct {
+			Name string  `json:"name"`
+			Rate float64 `json:"rate"`
+		} `json:"accounts"`
+	}
+	if json.Unmarshal([]byte(out), &status) != nil {
+		return 0
+	}
+	for _, a := range status.Accounts {
+		if a.Name == account {
+			return a.Rate
+		}
+	}
+	return 0
+}
