surveyor: charge answers to their link in pieces

Cause: an answer larger than a host's part of a link's burst could never be passed on (limit of the runbook). Ruled out: a larger burst, which would let more than the cap through at once. Before: refused for ever. Conclusion: none.

--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -226,6 +226,19 @@
 	if !ok || bytes == 0 {
 		return nil
 	}
+	for left := bytes; left > 0; left -= replyPiece {
+		if err := s.awaitLink(ctx, account, min(left, replyPiece)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replyPiece is the size of the pieces that an answer is charged in, so that it may be larger than
+// a host's part of a link's burst.
+const replyPiece = 64 << 10
+
+func (s *Surveyor) awaitLink(ctx context.Context, account string, bytes int64) error {
 	for {
 		d := s.limiter.Admit(account, bytes)
 		if d.Admitted {
--- a/surveyor/surveyor_test.go
+++ b/surveyor/surveyor_test.go
@@ -208,7 +208,13 @@
 	if !ok || s.Reply(t.Context(), "z2", 20) != nil || s.Reply(t.Context(), "z1", 20) != nil {
 		t.Fatal("refused")
 	}
-	want := []string{"cap/s/r0/r1 1", "link/r0/r1 10", "link/r0/r1 20"}
+	if s.Reply(t.Context(), "z2", replyPiece+1) != nil {
+		t.Fatal("a large answer was refused")
+	}
+	want := []string{
+		"cap/s/r0/r1 1", "link/r0/r1 10", "link/r0/r1 20",
+		fmt.Sprint("link/r0/r1 ", replyPiece), "link/r0/r1 1",
+	}
 	if !slices.Equal(f.charged, want) {
 		t.Errorf("charged %q, want %q", f.charged, want)
 	}
