--- a/prover/cut_test.go
+++ b/prover/cut_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -81,43 +80,17 @@
 	spec := smallFleet()
 	spec.rate, spec.burst = 40, 40
 	f := newFleet(t, spec)
-	var admitted atomic.Int64
-	start := time.Now()
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 8 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			h := f.hosts[i%len(f.hosts)]
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if a := f.get(h, "/catalogue"); a.err == nil && a.status == http.StatusOK {
-					admitted.Add(1)
-				}
-			}
-		}()
-	}
-	f.eventually("requests are admitted", func() bool { return admitted.Load() > 40 })
+	tr := startTraffic(8, f.toAllHosts)
+	f.await(tr, 40, 0)
 	f.hosts[0].signal(t, syscall.SIGSTOP)
 	f.isolate(f.hosts[1])
 	f.eventually("the others take the paused host for dead", func() bool {
-		return f.hosts[2].contains(`"member":"east-a-1"`) && f.stateOf(f.hosts[2], "east-a-1") == "dead"
+		return f.stateOf(f.hosts[2], f.hosts[0].name) == "dead"
 	})
 	f.hosts[0].signal(t, syscall.SIGCONT)
 	f.rejoin(f.hosts[1])
-	before := admitted.Load()
-	f.eventually("requests go on", func() bool { return admitted.Load() > before+120 })
-	close(stop)
-	wg.Wait()
-	most := float64(spec.burst) + float64(spec.rate)*time.Since(start).Seconds()
-	if n := float64(admitted.Load()); n > most {
-		t.Errorf("admitted %.0f, the bound is %.0f", n, most)
-	}
+	f.await(tr, 120, tr.served.Load())
+	tr.wantWithinRate(t, spec)
 }
 
 // stateOf returns a member's state as a host sees it.
@@ -150,27 +123,8 @@
 	spec.slots = 3
 	spec.latency = 20 * time.Millisecond
 	f := newFleet(t, spec)
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	var served atomic.Int64
-	for i := range 24 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			h := f.hosts[i%len(f.hosts)]
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				if f.get(h, "/catalogue").status == http.StatusOK {
-					served.Add(1)
-				}
-			}
-		}()
-	}
-	f.eventually("traffic flows", func() bool { return served.Load() > 100 })
+	tr := startTraffic(24, f.toAllHosts)
+	f.await(tr, 100, 0)
 	f.hosts[2].signal(t, syscall.SIGSTOP)
 	f.eventually("the paused host is taken for dead", func() bool {
 		return f.stateOf(f.hosts[3], f.hosts[2].name) == "dead"
@@ -179,10 +133,8 @@
 	f.hosts[2].signal(t, syscall.SIGCONT)
 	f.startHost(f.hosts[1])
 	f.awaitReady(f.hosts[1])
-	before := served.Load()
-	f.eventually("traffic flows again", func() bool { return served.Load() > before+200 })
-	close(stop)
-	wg.Wait()
+	f.await(tr, 200, tr.served.Load())
+	tr.end()
 	for _, target := range f.targets {
 		if peak := f.runsOf(target).Peak; peak > spec.slots {
 			t.Errorf("target %s ran %d requests at once on %d slots", target, peak, spec.slots)
--- a/prover/failure_test.go
+++ b/prover/failure_test.go
@@ -3,10 +3,8 @@
 import (
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
-	"time"
 )
 
 // The owner is killed while the operation runs; the caller sends it again through another host.
@@ -107,46 +105,28 @@
 func TestGracefulStopCutsNoRequest(t *testing.T) {
 	f := newFleet(t, smallFleet())
 	leaving := f.hosts[2]
-	var failed, served atomic.Int64
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for range 4 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				f.follow(&served, &failed)
-			}
-		}()
-	}
-	f.eventually("traffic flows", func() bool { return served.Load() > 50 })
+	tr := startTraffic(4, f.follow)
+	f.await(tr, 50, 0)
 	leaving.signal(t, syscall.SIGTERM)
 	<-leaving.done
-	close(stop)
-	wg.Wait()
+	tr.end()
 	if code := leaving.cmd.ProcessState.ExitCode(); code != 0 {
 		t.Errorf("exit code %d", code)
 	}
-	if failed.Load() != 0 {
-		t.Errorf("%d of %d requests failed", failed.Load(), served.Load()+failed.Load())
+	if n := tr.failed.Load(); n != 0 {
+		t.Errorf("%d of %d requests failed", n, n+tr.served.Load())
 	}
 }
 
 // follow looks up the entry hosts and sends one request to the first.
-func (f *fleet) follow(served, failed *atomic.Int64) {
+func (f *fleet) follow(int) bool {
 	address := f.lookup("west-a")
 	a := f.call("GET", address, "/catalogue", f.key, "", "")
-	if a.err != nil || a.status != http.StatusOK {
-		failed.Add(1)
-		f.t.Logf("%s: %+v", address, a)
-		return
+	if a.err == nil && a.status == http.StatusOK {
+		return true
 	}
-	served.Add(1)
+	f.t.Logf("%s: %+v", address, a)
+	return false
 }
 
 // A write whose answer is lost is found out, and of two operators who race one gets a conflict.
@@ -174,40 +154,14 @@
 	spec := smallFleet()
 	spec.rate, spec.burst = 40, 40
 	f := newFleet(t, spec)
-	var admitted atomic.Int64
-	start := time.Now()
-	stop := make(chan struct{})
-	var wg sync.WaitGroup
-	for i := range 8 {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			h := f.hosts[i%len(f.hosts)]
-			for {
-				select {
-				case <-stop:
-					return
-				default:
-				}
-				a := f.get(h, "/catalogue")
-				if a.err == nil && a.status == http.StatusOK {
-					admitted.Add(1)
-				}
-			}
-		}()
-	}
-	f.eventually("requests are admitted", func() bool { return admitted.Load() > 40 })
+	tr := startTraffic(8, f.toAllHosts)
+	f.await(tr, 40, 0)
 	f.faults(`{"down":true}`)
 	f.hosts[1].signal(t, syscall.SIGKILL)
-	f.eventually("requests go on", func() bool { return admitted.Load() > 160 })
+	f.await(tr, 120, tr.served.Load())
 	f.startHost(f.hosts[1])
-	f.eventually("requests go on after the replacement", func() bool { return admitted.Load() > 280 })
-	close(stop)
-	wg.Wait()
-	most := float64(spec.burst) + float64(spec.rate)*time.Since(start).Seconds()
-	if n := float64(admitted.Load()); n > most {
-		t.Errorf("admitted %.0f, the bound is %.0f", n, most)
-	}
+	f.await(tr, 120, tr.served.Load())
+	tr.wantWithinRate(t, spec)
 }
 
 // One request crashes each target that runs it, and its caller sends it again to every host. At
