--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -91,3 +91,9 @@
 		}
 	})
 }
+
+func TestExampleIsValid(t *testing.T) {
+	if _, err := Load("../examples/host.toml"); err != nil {
+		t.Fatal(err)
+	}
+}
