server: tell slow senders, and refuse no operation as not run unread

Ruled out: asking the owner before each such refusal, for input that is broken. Change: a request that does not arrive within callers.idle gets 408; refusals of broken input say 'not run' only when the whole header was read and bears no identity. Before: no answer, and 'not run' for an operation with a long body. Conclusion: 'not run' holds at the listener too.

--- a/server/config.go
+++ b/server/config.go
@@ -28,5 +28,14 @@
 	readBufferBytes = 32 << 10
 )
 
+// sweepPeriod is the time between two looks for senders that are too slow.
+const sweepPeriod = 100 * time.Millisecond
+
+// closeAfter is the time after which the engine closes a silent connection; it is longer than
+// Idle, so that a slow sender gets its answer first.
+func (c *Config) closeAfter() time.Duration {
+	return c.Idle + 2*linger
+}
+
 // linger is the time for which a refused connection stays open to deliver the refusal.
 const linger = time.Second
--- a/server/connection.go
+++ b/server/connection.go
@@ -17,8 +17,10 @@
 	processor *processor
 	ctx       context.Context
 	cancel    context.CancelFunc
-	// broken is set once a fault was answered; only the poller's goroutine uses it.
-	broken bool
+	// broken is set once a fault was answered.
+	broken atomic.Bool
+	// started is the time, in Unix nanoseconds, at which an unfinished request began; 0 is none.
+	started atomic.Int64
 	// closing is set once an answer asked the caller to close the connection.
 	closing atomic.Bool
 
@@ -41,6 +43,7 @@
 		return false
 	}
 	c.pending++
+	c.started.Store(0)
 	return true
 }
 
@@ -59,9 +62,10 @@
 
 // receive parses data; a fault is answered unless another answer is due.
 func (c *connection) receive(data []byte) {
-	if c.broken || (c.closing.Load() && c.idle()) {
+	if c.broken.Load() || (c.closing.Load() && c.idle()) {
 		return
 	}
+	c.started.CompareAndSwap(0, time.Now().UnixNano())
 	err := c.parser.Parse(data)
 	if err == nil && c.processor.fault == nil {
 		return
@@ -76,11 +80,21 @@
 // refuse answers a fault and reads on for a moment, because closing a socket with unread input
 // resets it and the caller would lose the answer.
 func (c *connection) refuse(f *fault) {
-	c.broken = true
+	if c.broken.Swap(true) {
+		return
+	}
 	if !c.idle() {
 		_ = c.raw.CloseWithError(f)
 		return
 	}
-	_, _ = c.raw.Write(f.answer())
+	_, _ = c.raw.Write(f.answer(c.processor.outcome()))
 	_ = c.raw.SetReadDeadline(time.Now().Add(linger))
 }
+
+// expire refuses a request whose sender takes longer than limit.
+func (c *connection) expire(now time.Time, limit time.Duration) {
+	started := c.started.Load()
+	if started != 0 && now.UnixNano()-started >= int64(limit) {
+		c.refuse(slowSender())
+	}
+}
--- a/server/fault.go
+++ b/server/fault.go
@@ -31,6 +31,10 @@
 	return &fault{http.StatusBadRequest, "the request states its length more than once"}
 }
 
+func slowSender() *fault {
+	return &fault{http.StatusRequestTimeout, "the request did not arrive in time"}
+}
+
 // toFault turns any error of the parser into a fault.
 func toFault(err error) *fault {
 	var f *fault
@@ -44,9 +48,14 @@
 }
 
 // answer returns the fault as a whole HTTP answer that closes the connection.
-func (f *fault) answer() []byte {
-	body := fmt.Sprintf("{\"outcome\":\"not run\",\"reason\":%q}\n", f.reason)
+func (f *fault) answer(outcome string) []byte {
+	body := fmt.Sprintf("{\"outcome\":%q,\"reason\":%q}\n", outcome, f.reason)
 	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"+
-		"Fescuethread-Outcome: not run\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
-		f.status, http.StatusText(f.status), len(body), body)
+		"Fescuethread-Outcome: %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		f.status, http.StatusText(f.status), outcome, len(body), body)
 }
+
+const (
+	outcomeNotRun  = "not run"
+	outcomeUnknown = "unknown"
+)
--- a/server/processor.go
+++ b/server/processor.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -16,6 +17,10 @@
 	encodings   int
 	bodyBytes   int
 	fault       *fault
+	// plain is set once the whole header has been read and bears no operation identity; the sweep
+	// reads it from its own goroutine.
+	plain     atomic.Bool
+	operation bool
 }
 
 // OnMethod starts a request.
@@ -25,6 +30,8 @@
 	p.encodings = 0
 	p.bodyBytes = 0
 	p.fault = nil
+	p.operation = false
+	p.plain.Store(false)
 	p.ServerProcessor.OnMethod(parser, method)
 }
 
@@ -45,6 +52,8 @@
 		p.lengths++
 	case "Transfer-Encoding":
 		p.encodings++
+	case headerOperation:
+		p.operation = true
 	}
 	if p.headerBytes > p.cfg.HeaderBytes {
 		p.fail(headerTooLarge())
@@ -58,6 +67,7 @@
 
 // OnContentLength refuses a length above the body bound.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
+	p.plain.Store(!p.operation)
 	if length > p.cfg.BodyBytes {
 		p.fail(bodyTooLarge())
 	}
@@ -87,6 +97,18 @@
 	p.ServerProcessor.OnComplete(parser)
 }
 
+// headerOperation bears the identity of non-idempotent work.
+const headerOperation = "Fescuethread-Operation"
+
+// outcome is what a refusal may say: an earlier copy of an operation may have run elsewhere, and a
+// header that was not read to its end may bear one.
+func (p *processor) outcome() string {
+	if p.plain.Load() {
+		return outcomeNotRun
+	}
+	return outcomeUnknown
+}
+
 func (p *processor) fail(f *fault) {
 	if p.fault == nil {
 		p.fault = f
--- a/server/server.go
+++ b/server/server.go
@@ -52,6 +52,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
 	defer stop()
+	var sweeping sync.WaitGroup
+	defer sweeping.Wait()
+	sweeping.Go(s.sweep)
 	err := s.accept()
 	s.active.Wait()
 	s.cancel()
@@ -75,7 +78,7 @@
 		ReadLimit:          s.cfg.BodyBytes + s.cfg.HeaderBytes,
 		ReadBufferSize:     readBufferBytes,
 		MaxWriteBufferSize: s.cfg.AnswerBytes,
-		KeepaliveTime:      s.cfg.Idle,
+		KeepaliveTime:      s.cfg.closeAfter(),
 		Handler:            http.HandlerFunc(s.serve),
 		ServerExecutor:     func(f func()) { go f() },
 		SupportServerOnly:  true,
@@ -84,6 +87,25 @@
 	return e
 }
 
+// sweep refuses senders that are too slow, until the server closes.
+func (s *Server) sweep() {
+	ticker := time.NewTicker(sweepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.base.Done():
+			return
+		case now := <-ticker.C:
+			s.conns.Range(func(_, v interface{}) bool {
+				if c, ok := v.(*connection); ok {
+					c.expire(now, s.cfg.Idle)
+				}
+				return true
+			})
+		}
+	}
+}
+
 func (s *Server) accept() error {
 	for {
 		conn, err := s.listener.Accept()
@@ -105,7 +127,7 @@
 func (s *Server) refuseConnection(conn net.Conn) {
 	f := &fault{http.StatusServiceUnavailable, "too many connections"}
 	_ = conn.SetWriteDeadline(time.Now().Add(linger))
-	_, _ = conn.Write(f.answer())
+	_, _ = conn.Write(f.answer(outcomeUnknown))
 	_ = conn.Close()
 }
 
@@ -129,7 +151,7 @@
 		_ = raw.Close()
 		return
 	}
-	_ = raw.SetReadDeadline(time.Now().Add(s.cfg.Idle))
+	_ = raw.SetReadDeadline(time.Now().Add(s.cfg.closeAfter()))
 }
 
 // receive finds the connection in the map, which orders the poller's goroutine after add; the race
