prover: drain a zone and a region under traffic

Cause: drains of places were tested as plans only. Ruled out: nothing. Change: TestDrainsOfPlacesCutNoRequest: a zone, then its region, drained by command while their callers send; no request fails, all hosts end with exit code 0. Before: no such test. Conclusion: the stop of a host carries the drains of places.

--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,7 @@
 
 prove-stops:
 	go test -count=1 ./drainer
-	go test -count=1 ./prover -run 'Graceful|StoppedHost'
+	go test -count=1 ./prover -run 'Graceful|StoppedHost|DrainsOf'
 
 prove-configuration: spec
 	go test -count=1 ./storer ./watcher ./applier
--- a/prover/failure_test.go
+++ b/prover/failure_test.go
@@ -220,3 +220,31 @@
 		return sum > float64(f.spec.rate)-1
 	})
 }
+
+// A planned drain of a whole zone, then of a whole region, under traffic from their own callers: no
+// request is cut, and every host that leaves ends with exit code 0.
+func TestDrainsOfPlacesCutNoRequest(t *testing.T) {
+	spec := smallFleet()
+	spec.zones = append(spec.zones, zoneSpec{name: "west-b", region: "west", hosts: 1, targets: 1})
+	f := newFleet(t, spec)
+	tr := startTraffic(4, f.follow)
+	f.await(tr, 50, 0)
+	f.run("drain", "zone", "west-a")
+	leaving := f.hosts[2:4]
+	for _, h := range leaving {
+		<-h.done
+	}
+	f.await(tr, 50, tr.served.Load())
+	f.run("drain", "region", "west")
+	<-f.hosts[4].done
+	f.await(tr, 50, tr.served.Load())
+	tr.end()
+	for _, h := range f.hosts[2:] {
+		if code := h.cmd.ProcessState.ExitCode(); code != 0 {
+			t.Errorf("%s: exit code %d", h.name, code)
+		}
+	}
+	if n := tr.failed.Load(); n != 0 {
+		t.Errorf("%d of %d requests failed", n, n+tr.served.Load())
+	}
+}
