assembler: list the members once a round

Cause: reading the change once more: each round of heartbeats listed all members three times (418 us each at 1,600 hosts, docs/CAPACITY.md), and the rule which zone a load is of stood in assembler and surveyor. Ruled out: a cache in the detector; the round can hand its list on. Change: one list a round for slots, limits and documents; detector.LoadZone holds the rule; holdings no longer needs the detector. Before: three listings and two copies. Conclusion: none.

--- a/assembler/distribution.go
+++ b/assembler/distribution.go
@@ -78,8 +78,8 @@
 }
 
 // pull hears which documents the members hold, so that newer ones are fetched from them.
-func (h *Host) pull(now timer.Instant) {
-	for _, m := range h.detector.Members(now) {
+func (h *Host) pull(members []detector.MemberView) {
+	for _, m := range members {
 		if m.State != detector.StateLive && m.State != detector.StateLeaving {
 			continue
 		}
--- a/assembler/duty.go
+++ b/assembler/duty.go
@@ -66,15 +66,16 @@
 	if inv == nil {
 		return
 	}
-	h.holdings.assign(inv, now)
+	members := h.detector.Members(now)
+	h.holdings.assign(inv, now, members)
 	h.joined.Store(h.joined.Load() || h.holdings.ready() && h.limiter.Snapshot().Usable)
-	for _, m := range h.detector.Members(now) {
+	for _, m := range members {
 		h.acknowledge(m)
 		h.suspects.Hear(now, m.Host.Name, m.Suspects)
 	}
 	h.confirm()
 	h.acceptStops(now)
-	h.pull(now)
+	h.pull(members)
 }
 
 // acceptStops tells the limiter which hosts have surely stopped: those that the platform's list no
--- a/assembler/holdings.go
+++ b/assembler/holdings.go
@@ -8,7 +8,6 @@
 	"github.com/fescuethread/fescuethread/detector"
 	"github.com/fescuethread/fescuethread/granter"
 	"github.com/fescuethread/fescuethread/logger"
-	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/registrar"
 	"github.com/fescuethread/fescuethread/scheduler"
 	"github.com/fescuethread/fescuethread/timer"
@@ -16,12 +15,11 @@
 
 // holdings takes and gives up slots of zones as the membership says.
 type holdings struct {
-	host     string
-	zone     string
-	detector *detector.Detector
-	granter  *granter.Granter
-	log      *logger.Logger
-	wanted   map[string]want
+	host    string
+	zone    string
+	granter *granter.Granter
+	log     *logger.Logger
+	wanted  map[string]want
 }
 
 // want is an assignment that is waiting until earlier holders have surely ended.
@@ -31,17 +29,14 @@
 	taken   bool
 }
 
-func newHoldings(
-	host, zone string, d *detector.Detector, g *granter.Granter, l *logger.Logger,
-) *holdings {
-	return &holdings{
-		host: host, zone: zone, detector: d, granter: g, log: l, wanted: make(map[string]want),
-	}
+func newHoldings(host, zone string, g *granter.Granter, l *logger.Logger) *holdings {
+	return &holdings{host: host, zone: zone, granter: g, log: l, wanted: make(map[string]want)}
 }
 
 // assign brings this host's parts of all zones up to date.
-func (h *holdings) assign(inv *registrar.Inventory, now timer.Instant) {
-	members := h.detector.Members(now)
+func (h *holdings) assign(
+	inv *registrar.Inventory, now timer.Instant, members []detector.MemberView,
+) {
 	hosts := h.standings(inv, members)
 	hold := longestTimeout(inv)
 	for _, z := range inv.Zones() {
@@ -131,7 +126,7 @@
 	n := 0
 	for _, m := range members {
 		for _, l := range m.Loads {
-			if l.GetService() == service && loadZone(m, l) == zone {
+			if l.GetService() == service && detector.LoadZone(m.Host.Zone, l) == zone {
 				n += int(max(l.GetSlots(), l.GetBusy()))
 			}
 		}
@@ -139,13 +134,6 @@
 	return n
 }
 
-func loadZone(m detector.MemberView, l *messenger.Load) string {
-	if l.GetAz() != "" {
-		return l.GetAz()
-	}
-	return m.Host.Zone
-}
-
 func (h *holdings) logAssigned(a assigner.Assignment) {
 	h.log.Log(eventAssigned,
 		logger.F("zone", a.Zone),
--- a/assembler/host.go
+++ b/assembler/host.go
@@ -252,7 +252,7 @@
 	h.isolator = isolator.New()
 	h.suspects = suspects{isolator: h.isolator}
 	h.granter = granter.New(scheduler.Config{}, h.isolator, timer.Now)
-	h.holdings = newHoldings(s.Host.Name, s.Host.Zone, h.detector, h.granter, h.log)
+	h.holdings = newHoldings(s.Host.Name, s.Host.Zone, h.granter, h.log)
 	h.surveyor = surveyor.New(
 		s.Host.Name, s.Host.Zone, h.enforcer, h.granter, h.detector, h.limiter,
 	)
--- a/detector/view.go
+++ b/detector/view.go
@@ -41,6 +41,14 @@
 	Suspects [][]byte
 }
 
+// LoadZone returns the zone whose slots a load is of: the one it names, or its reporter's own.
+func LoadZone(own string, l *messenger.Load) string {
+	if l.GetAz() != "" {
+		return l.GetAz()
+	}
+	return own
+}
+
 // ZoneView is what the table concludes of one availability zone.
 type ZoneView struct {
 	// Name is the zone's name.
--- a/surveyor/reports.go
+++ b/surveyor/reports.go
@@ -141,12 +141,9 @@
 	return n
 }
 
-// siteOf is the zone whose slots the load is of: the one it names, or the reporter's own.
+// siteOf is what the load is of, as a host of a zone reports it.
 func siteOf(zone string, l *messenger.Load) site {
-	if l.GetAz() != "" {
-		zone = l.GetAz()
-	}
-	return site{service: l.GetService(), zone: zone}
+	return site{service: l.GetService(), zone: detector.LoadZone(zone, l)}
 }
 
 // of returns the report of a site, as old as it is by then, and the hosts to pass requests to.
