conductor: serve the users' platform by one program on every machine

Cause: the users ask for the product on their platform, whose machines have no disk and none of which is set aside for control; nothing of the product spoke the platform's protocol. Ruled out: passing requests host to host as the older path does (a hop costs processor, bytes and a second place to die); loans with terms for rates (tokens moved by debit and credit need no lease).

--- /dev/null
+++ b/announcer/announcer.go
@@ -0,0 +1,198 @@
+package announcer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const (
+	// Period is the time between two heartbeats.
+	Period = 400 * time.Millisecond
+	// LiveTerm is how long a heartbeat shows that its host lives: several may be lost.
+	LiveTerm = 5 * Period
+	// maxDatagramBytes is the largest datagram that is read.
+	maxDatagramBytes = 16 << 10
+)
+
+// Source gives what a heartbeat tells.
+type Source interface {
+	// Beat returns this host's heartbeat without host, incarnation and sequence.
+	Beat(now timer.Instant) *messenger.Beat
+	// Heard is told of each newer heartbeat of a peer.
+	Heard(now timer.Instant, b *messenger.Beat)
+	// Plead is told of a peer's plea for tokens.
+	Plead(now timer.Instant, p *messenger.Plea)
+	// Give is told of tokens that a peer moved here.
+	Give(now timer.Instant, g *messenger.Gift)
+}
+
+// Announcer sends and receives datagrams.
+type Announcer struct {
+	self        Member
+	incarnation uint64
+	roster      *Roster
+	source      Source
+	log         *logger.Logger
+	conn        *net.UDPConn
+	sequence    uint64
+	live        map[string]bool
+}
+
+// Listen opens the address for datagrams.
+func Listen(
+	self Member, incarnation uint64, roster *Roster, source Source, l *logger.Logger,
+) (*Announcer, error) {
+	addr, err := net.ResolveUDPAddr("udp4", self.Peer)
+	if err != nil {
+		return nil, &Error{Op: "listen " + self.Peer, Kind: KindListen, Err: err}
+	}
+	conn, err := net.ListenUDP("udp4", addr)
+	if err != nil {
+		return nil, &Error{Op: "listen " + self.Peer, Kind: KindListen, Err: err}
+	}
+	return &Announcer{
+		self:        self,
+		incarnation: incarnation,
+		roster:      roster,
+		source:      source,
+		log:         l,
+		conn:        conn,
+		live:        map[string]bool{},
+	}, nil
+}
+
+// Incarnation identifies this process among those of its host.
+func (a *Announcer) Incarnation() uint64 {
+	return a.incarnation
+}
+
+// Receive reads datagrams until ctx ends.
+func (a *Announcer) Receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	defer stop()
+	buf := make([]byte, maxDatagramBytes)
+	for {
+		n, _, err := a.conn.ReadFromUDP(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			a.log.Log(eventReceiveFailed, logger.F("cause", err.Error()))
+			if !pause(ctx, Period) {
+				return nil
+			}
+			continue
+		}
+		a.take(buf[:n])
+	}
+}
+
+// Announce sends a heartbeat each period until ctx ends.
+func (a *Announcer) Announce(ctx context.Context, ticks *timer.Subscription) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-ticks.C():
+			a.Beat(t.At)
+			a.watch(t.At)
+		}
+	}
+}
+
+// Beat sends a heartbeat to all peers now.
+func (a *Announcer) Beat(now timer.Instant) {
+	b := a.source.Beat(now)
+	a.sequence++
+	b.Host = a.self.Name
+	b.Incarnation = a.incarnation
+	b.Sequence = a.sequence
+	data, ok := a.encode(&messenger.Datagram{Beat: b})
+	if !ok {
+		return
+	}
+	for _, p := range a.roster.Peers() {
+		a.send(p.Peer, data)
+	}
+}
+
+// Send sends one datagram to a peer.
+func (a *Announcer) Send(p Peer, d *messenger.Datagram) {
+	if data, ok := a.encode(d); ok {
+		a.send(p.Peer, data)
+	}
+}
+
+func (a *Announcer) encode(d *messenger.Datagram) ([]byte, bool) {
+	data, err := proto.Marshal(d)
+	if err != nil {
+		a.log.Log(eventSendFailed, logger.F("cause", err.Error()))
+		return nil, false
+	}
+	return data, true
+}
+
+// send writes a datagram; a lost one is made up for by the next.
+func (a *Announcer) send(address string, data []byte) {
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err == nil {
+		_, err = a.conn.WriteToUDP(data, addr)
+	}
+	if err != nil {
+		a.log.Log(eventSendFailed, logger.F("peer", address), logger.F("cause", err.Error()))
+	}
+}
+
+func (a *Announcer) take(data []byte) {
+	var d messenger.Datagram
+	if err := proto.Unmarshal(data, &d); err != nil {
+		a.log.Log(eventReceiveFailed, logger.F("cause", err.Error()))
+		return
+	}
+	now := timer.Now()
+	switch {
+	case d.GetBeat() != nil:
+		if a.roster.hear(now, d.GetBeat()) {
+			a.source.Heard(now, d.GetBeat())
+		}
+	case d.GetPlea() != nil:
+		a.source.Plead(now, d.GetPlea())
+	case d.GetGift() != nil:
+		a.source.Give(now, d.GetGift())
+	}
+}
+
+// watch logs the peers that were lost or came back.
+func (a *Announcer) watch(now timer.Instant) {
+	for _, p := range a.roster.Peers() {
+		live := p.Live(now, LiveTerm)
+		if live == a.live[p.Name] {
+			continue
+		}
+		a.live[p.Name] = live
+		event := eventPeerLost
+		if live {
+			event = eventPeerHeard
+		}
+		a.log.Log(event, logger.F("peer", p.Name), logger.F("zone", p.Zone),
+			logger.F("silent_ms", now.Sub(p.Heard).Milliseconds()))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/announcer/error.go
@@ -0,0 +1,29 @@
+package announcer
+
+import "fmt"
+
+// Kind classifies the package's errors.
+type Kind string
+
+// KindListen is an address that cannot be listened on.
+const KindListen Kind = "listen"
+
+// Error is the package's error: the operation, its kind and the cause.
+type Error struct {
+	// Op is the operation that failed.
+	Op string
+	// Kind classifies the failure.
+	Kind Kind
+	// Err is the cause.
+	Err error
+}
+
+// Error formats the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("announcer: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/commander/edge.go
@@ -0,0 +1,93 @@
+package commander
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/spf13/cobra"
+
+	"github.com/fescuethread/fescuethread/conductor"
+	"github.com/fescuethread/fescuethread/logger"
+)
+
+const (
+	// settingsVariable holds the path of the settings file on the platform.
+	settingsVariable = "FESCUETHREAD_SETTINGS"
+	// logLines is the number of log lines that wait for a slow reader before lines are dropped.
+	logLines = 8192
+)
+
+func init() {
+	register(newEdge)
+}
+
+func newEdge(env Environment, _ *options) *cobra.Command {
+	var settings string
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "edge",
+		Short: "Run a host on the users' platform",
+		Long: "Edge runs a host on the users' platform until it is stopped. SIGTERM begins a\n" +
+			"graceful stop; SIGHUP reads the settings file again. The file is named by --settings\n" +
+			"or by the variable " + settingsVariable + ".",
+		Example: "  fescuethread edge --settings edge.toml\n" +
+			"  fescuethread edge --settings edge.toml --check",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if settings == "" {
+				settings = os.Getenv(settingsVariable)
+			}
+			s, err := conductor.LoadSettings(settings)
+			if err != nil {
+				return &Error{Op: "edge", Kind: KindInput, Err: err}
+			}
+			if check {
+				return nil
+			}
+			return runEdge(cmd.Context(), env, settings, s)
+		},
+	}
+	cmd.Flags().StringVar(&settings, "settings", "", "file of the process's settings")
+	cmd.Flags().BoolVar(&check, "check", false, "only check the settings file")
+	return cmd
+}
+
+func runEdge(ctx context.Context, env Environment, path string, s conductor.Settings) error {
+	level, err := log.ParseLevel(s.Log.Level)
+	if err != nil {
+		return &Error{Op: "edge", Kind: KindInput, Err: err}
+	}
+	ring := logger.NewRing(env.Out, logLines)
+	defer ring.Close()
+	host, err := conductor.New(ctx, s, logger.New(ring, logger.FormatJSON, level), ring)
+	if err != nil {
+		return failed("edge", err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	go followEdgeSignals(ctx, signals, host, path)
+	return failed("edge", host.Run(ctx))
+}
+
+func followEdgeSignals(
+	ctx context.Context, signals <-chan os.Signal, host *conductor.Host, path string,
+) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				host.Reload(path)
+				continue
+			}
+			host.Stop()
+		}
+	}
+}
--- /dev/null
+++ b/conductor/duty.go
@@ -0,0 +1,179 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/fescuethread/fescuethread/announcer"
+	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const (
+	// sharesPeriod is the time between two looks for customers whose tokens run out.
+	sharesPeriod = 100 * time.Millisecond
+	// registerPause is the time between two tries to register.
+	registerPause = 400 * time.Millisecond
+	// listedCheck is the time between two looks whether this host is still registered.
+	listedCheck = time.Second
+	// openMargin is how much longer than the proof term a fresh host waits before it uses its
+	// shares: until then hosts that haven't heard of it may use them.
+	openMargin = 200 * time.Millisecond
+	// thousand turns a number of requests into thousandths.
+	thousand = 1000
+)
+
+// announce sends heartbeats until ctx ends.
+func (h *Host) announce(ctx context.Context) error {
+	ticks := h.timer.Subscribe(announcer.Period)
+	defer ticks.Close()
+	return h.announcer.Announce(ctx, ticks)
+}
+
+// keepRegistered writes the host's entry and writes it again when it is gone.
+func (h *Host) keepRegistered(ctx context.Context) error {
+	for {
+		fresh, err := h.store.Register(ctx, h.self)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			h.log.Log(eventRegisterFailed, logger.F("cause", err.Error()))
+			if !sleep(ctx, registerPause) {
+				return nil
+			}
+			continue
+		}
+		h.opened(fresh)
+		if !h.awaitRemoval(ctx) {
+			return nil
+		}
+	}
+}
+
+// opened lets the host use its shares: at once where the entry was there before, and else once no
+// host can still serve by a list without it.
+func (h *Host) opened(fresh bool) {
+	at := timer.Now()
+	if fresh {
+		at = at.Add(h.proofTerm + openMargin)
+	}
+	h.sharer.Open(at)
+	h.registered.Store(true)
+	h.log.Log(eventRegistered, logger.F("fresh", fresh),
+		logger.F("opens_ms", at.Sub(timer.Now()).Milliseconds()))
+}
+
+// awaitRemoval waits until a list of hosts that was read after the registration lacks this one.
+func (h *Host) awaitRemoval(ctx context.Context) bool {
+	since := timer.Now()
+	for {
+		if !sleep(ctx, listedCheck) {
+			return false
+		}
+		listed, at := h.roster.Listed()
+		if !listed && at > since {
+			return true
+		}
+	}
+}
+
+// keepHouse moves shares, forgets what has expired and decides on readiness.
+func (h *Host) keepHouse(ctx context.Context) error {
+	ticks := h.timer.Subscribe(selector.TickPeriod)
+	defer ticks.Close()
+	proved := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-ticks.C():
+			h.selector.SetDemand(h.self.Name, h.selector.Demand(t.At))
+			h.selector.Tick(t.At)
+			h.follower.Sweep(t.At)
+			h.sender.Sweep(t.At)
+			h.isolator.Tick(t.At)
+			h.decideReady(t.At)
+			proved = h.watchProof(t.At, proved)
+			if n := h.ring.Dropped(); n > 0 {
+				h.log.Log(eventLogDropped, logger.F("lines", n))
+			}
+		}
+	}
+}
+
+// decideReady makes the host ready once it knows what it needs; it stays ready in an outage of the
+// store, since it still serves what needs no key.
+func (h *Host) decideReady(now timer.Instant) {
+	ready := h.follower.Known() && h.registered.Load() && h.sharer.OpenSince(now)
+	if ready && !h.ready.Swap(true) {
+		h.log.Log(eventReady, logger.F("plan", h.follower.Plan().Version()),
+			logger.F("hosts", h.hostCount()))
+	}
+}
+
+// watchProof logs when the proof of the newest keys is lost or there again.
+func (h *Host) watchProof(now timer.Instant, before bool) bool {
+	proof := h.follower.Proved()
+	proved := proof != 0 && now.Sub(proof) < h.proofTerm
+	if proved == before || proof == 0 {
+		return proved || proof == 0
+	}
+	event := eventProofLost
+	if proved {
+		event = eventProofRegained
+	}
+	h.log.Log(event, logger.F("age_ms", now.Sub(proof).Milliseconds()),
+		logger.F("bound_ms", h.proofTerm.Milliseconds()))
+	return proved
+}
+
+// askForShares asks peers for tokens that this host is about to lack.
+func (h *Host) askForShares(ctx context.Context) error {
+	ticks := h.timer.Subscribe(sharesPeriod)
+	defer ticks.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case t := <-ticks.C():
+			for _, need := range h.sharer.Needs(t.At) {
+				if p, ok := h.richest(t.At, need.Customer); ok {
+					h.announcer.Send(p, &messenger.Datagram{Plea: &messenger.Plea{
+						Host: h.self.Name, Customer: need.Customer, Tokens: need.Tokens,
+					}})
+				}
+			}
+		}
+	}
+}
+
+// richest returns the live peer that could spare most of a customer's rate.
+func (h *Host) richest(now timer.Instant, customer string) (announcer.Peer, bool) {
+	var best announcer.Peer
+	most := uint32(0)
+	for _, p := range h.roster.Peers() {
+		if !p.Live(now, announcer.LiveTerm) {
+			continue
+		}
+		for _, s := range p.Beat.GetSpares() {
+			if s.GetCustomer() == customer && s.GetTokens() > most {
+				best, most = p, s.GetTokens()
+			}
+		}
+	}
+	return best, most > 0
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/conductor/peers.go
@@ -0,0 +1,114 @@
+package conductor
+
+import (
+	"sync"
+
+	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// peers answers the announcer's questions and takes what peers tell.
+type peers struct {
+	host *Host
+}
+
+// Beat implements announcer.Source.
+func (p peers) Beat(now timer.Instant) *messenger.Beat {
+	h := p.host
+	b := &messenger.Beat{Ready: h.ready.Load(), Leaving: h.leaving.Load()}
+	if plan := h.follower.Plan(); plan != nil {
+		b.Version = plan.Version()
+	}
+	for name, busy := range h.selector.Demand(now).Busy {
+		if n := uint32(busy * thousand); n > 0 {
+			b.Works = append(b.Works, &messenger.Work{Service: name, Demand: n})
+		}
+	}
+	for _, s := range h.sharer.Spares(now) {
+		b.Spares = append(b.Spares, &messenger.Spare{Customer: s.Customer, Tokens: s.Tokens})
+	}
+	for _, s := range h.isolator.Suspicions(now) {
+		b.Suspects = append(b.Suspects, s.Encode(now))
+	}
+	return b
+}
+
+// Heard implements announcer.Source.
+func (p peers) Heard(now timer.Instant, b *messenger.Beat) {
+	h := p.host
+	peer, ok := h.roster.Find(b.GetHost())
+	if !ok {
+		return
+	}
+	d := selector.Demand{Zone: peer.Zone, At: now, Busy: map[string]float64{}}
+	for _, w := range b.GetWorks() {
+		d.Busy[w.GetService()] = float64(w.GetDemand()) / thousand
+	}
+	h.selector.SetDemand(b.GetHost(), d)
+	if err := h.isolator.Merge(now, b.GetHost(), b.GetSuspects()); err != nil {
+		h.log.Log(eventSuspectsUnreadable)
+	}
+}
+
+// Plead implements announcer.Source: it debits what the host can spare before it is sent.
+func (p peers) Plead(now timer.Instant, plea *messenger.Plea) {
+	h := p.host
+	peer, ok := h.roster.Find(plea.GetHost())
+	if !ok {
+		return
+	}
+	n := h.sharer.Give(now, plea.GetCustomer(), plea.GetTokens())
+	if n == 0 {
+		return
+	}
+	h.announcer.Send(peer, &messenger.Datagram{Gift: &messenger.Gift{
+		Host:        h.self.Name,
+		Customer:    plea.GetCustomer(),
+		Tokens:      n,
+		Number:      h.gifts.next(),
+		Incarnation: h.incarnation,
+	}})
+}
+
+// Give implements announcer.Source.
+func (p peers) Give(now timer.Instant, g *messenger.Gift) {
+	if p.host.gifts.isNew(g) {
+		p.host.sharer.Take(now, g.GetCustomer(), g.GetTokens())
+	}
+}
+
+// giftLog numbers the gifts that are sent and knows the newest one of each sender: a copy of a
+// datagram, or one that was overtaken, counts for nothing.
+type giftLog struct {
+	mu     sync.Mutex
+	sent   uint64
+	newest map[string]giftMark
+}
+
+type giftMark struct {
+	incarnation uint64
+	number      uint64
+}
+
+func (l *giftLog) next() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent++
+	return l.sent
+}
+
+func (l *giftLog) isNew(g *messenger.Gift) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.newest == nil {
+		l.newest = map[string]giftMark{}
+	}
+	last := l.newest[g.GetHost()]
+	if g.GetIncarnation() < last.incarnation ||
+		g.GetIncarnation() == last.incarnation && g.GetNumber() <= last.number {
+		return false
+	}
+	l.newest[g.GetHost()] = giftMark{incarnation: g.GetIncarnation(), number: g.GetNumber()}
+	return true
+}
--- /dev/null
+++ b/conductor/reload.go
@@ -0,0 +1,15 @@
+package conductor
+
+import "github.com/fescuethread/fescuethread/logger"
+
+// Reload reads the settings file again and puts in force what can change while the host runs: the
+// users' bounds on stops and the directory. A file with a fault changes nothing.
+func (h *Host) Reload(path string) {
+	s, err := LoadSettings(path)
+	if err != nil {
+		h.log.Log(eventReloadFailed, logger.F("cause", err.Error()))
+		return
+	}
+	h.bounds.Store(&s.Bounds)
+	h.log.Log(eventReloaded, logger.F("path", path))
+}
--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -1,6 +1,8 @@
 package exchanger
 
 import (
+	"bytes"
+	"io"
 	"net/http"
 	"strings"
 
@@ -11,11 +13,15 @@
 // MaxInterim is the number of interim answers (1xx) that are skipped before the answer.
 const MaxInterim = 8
 
+// headerEnd ends the header of an answer.
+var headerEnd = []byte("\r\n\r\n")
+
 // call collects the answer to one request from the parser's callbacks; its connection's lock
 // guards it.
 type call struct {
 	method   string
 	id       string
+	idHeader string
 	bounds   Bounds
 	parser   *nbhttp.Parser
 	answer   Answer
@@ -25,12 +31,22 @@
 	finished bool
 	// last says that the connection can't carry another exchange.
 	last bool
+	// unframed says that the body ends with the connection.
+	unframed bool
+	// head holds what was received up to the end of the header.
+	head []byte
 	err  error
 	done chan struct{}
 }
 
 func newCall(r *Request, b Bounds) *call {
-	c := &call{method: r.Method, id: r.ID, bounds: b, done: make(chan struct{})}
+	c := &call{
+		method:   r.Method,
+		id:       r.ID,
+		idHeader: r.idHeader(),
+		bounds:   b,
+		done:     make(chan struct{}),
+	}
 	c.answer.Header = http.Header{}
 	return c
 }
@@ -38,7 +54,16 @@
 // feed parses data and reports whether the connection stays usable.
 func (c *call) feed(data []byte) error {
 	c.started = true
+	if c.unframed {
+		return c.appendUnframed(data)
+	}
+	if c.bounds.Unframed && c.answer.Status == 0 {
+		c.head = append(c.head, data...)
+	}
 	err := c.parser.Parse(data)
+	if c.unframed && !c.finished {
+		return c.startUnframed()
+	}
 	if !c.finished {
 		return c.reject(err)
 	}
@@ -49,6 +74,42 @@
 	return nil
 }
 
+// startUnframed takes what the parser got beyond the header for the beginning of the body.
+func (c *call) startUnframed() error {
+	body := c.head
+	c.head = nil
+	for range c.interim + 1 {
+		_, rest, found := bytes.Cut(body, headerEnd)
+		if !found {
+			c.fail(ErrMalformed)
+			return ErrMalformed
+		}
+		body = rest
+	}
+	return c.appendUnframed(body)
+}
+
+func (c *call) appendUnframed(data []byte) error {
+	if len(c.answer.Body)+len(data) > c.bounds.BodyBytes {
+		c.fail(ErrTooLarge)
+		return ErrTooLarge
+	}
+	c.answer.Body = append(c.answer.Body, data...)
+	return nil
+}
+
+// endUnframed ends a body that ends with the connection; only an orderly end makes it whole.
+func (c *call) endUnframed(cause error) {
+	if c.finished {
+		return
+	}
+	if errors.Is(cause, io.EOF) {
+		c.complete()
+		return
+	}
+	c.fail(ErrTruncated)
+}
+
 func (c *call) reject(err error) error {
 	if err == nil {
 		return nil
@@ -99,7 +160,7 @@
 
 // OnProto implements nbhttp.Processor.
 func (c *call) OnProto(_ *nbhttp.Parser, proto string) error {
-	if c.finished {
+	if c.finished || c.unframed {
 		c.last = true
 		return ErrUnsolicited
 	}
@@ -186,9 +247,15 @@
 		c.fail(ErrTooLarge)
 		return
 	}
-	if length < 0 && !chunked {
+	if length >= 0 || chunked {
+		return
+	}
+	if !c.bounds.Unframed {
 		c.fail(ErrUnframed)
+		return
 	}
+	c.unframed = true
+	c.last = true
 }
 
 func (c *call) hasBody() bool {
@@ -243,7 +310,9 @@
 		c.skipInterim()
 		return
 	}
-	c.complete()
+	if !c.unframed {
+		c.complete()
+	}
 }
 
 func (c *call) skipInterim() {
@@ -270,7 +339,7 @@
 	if c.id == "" {
 		return false
 	}
-	for _, echo := range c.answer.Header.Values(HeaderRequest) {
+	for _, echo := range c.answer.Header.Values(c.idHeader) {
 		if echo != c.id {
 			return true
 		}
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -20,6 +24,8 @@
 	current *call
 	count   int
 	closed  bool
+	// keep is how long the server keeps the connection open while idle; 0 is unsaid.
+	keep time.Duration
 }
 
 // Exchange sends r and returns its whole answer; when ctx ends first it closes the connection.
@@ -55,6 +61,13 @@
 	return !c.closed && c.current == nil
 }
 
+// keepAlive returns how long the server keeps the connection open while idle; 0 is unsaid.
+func (c *Conn) keepAlive() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.keep
+}
+
 // Close closes the connection; an exchange in flight fails.
 func (c *Conn) Close() {
 	c.mu.Lock()
@@ -84,11 +97,15 @@
 }
 
 // CloseAndClean implements nbhttp.ParserCloser; the engine calls it when the connection ended.
-func (c *Conn) CloseAndClean(error) {
+func (c *Conn) CloseAndClean(cause error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
-	if c.current != nil {
+	switch {
+	case c.current == nil:
+	case c.current.unframed:
+		c.current.endUnframed(cause)
+	default:
 		c.current.fail(c.lostCause())
 	}
 }
@@ -157,5 +174,20 @@
 	if w.err != nil || w.last {
 		c.closed = true
 	}
+	c.keep = statedKeepAlive(w.answer.Header)
 	return c.closed
 }
+
+// statedKeepAlive reads how long a server keeps an idle connection open.
+func statedKeepAlive(h http.Header) time.Duration {
+	for _, v := range h.Values("Keep-Alive") {
+		for part := range strings.SplitSeq(v, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+			seconds, err := strconv.ParseUint(value, 10, 16)
+			if strings.EqualFold(name, "timeout") && err == nil {
+				return time.Duration(seconds) * time.Second
+			}
+		}
+	}
+	return 0
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -23,6 +23,8 @@
 	BodyBytes int
 	// HeaderBytes bounds the header.
 	HeaderBytes int
+	// Unframed accepts answers without a length, whose body ends with the connection.
+	Unframed bool
 }
 
 // Exchanger owns the engine that its connections are read by.
@@ -43,9 +45,10 @@
 		b.HeaderBytes = DefaultHeaderBytes
 	}
 	e := nbhttp.NewEngine(nbhttp.Config{
-		Name:      "exchanger",
-		NPoller:   1,
-		ReadLimit: b.BodyBytes + b.HeaderBytes,
+		Name:               "exchanger",
+		NPoller:            1,
+		ReadLimit:          b.BodyBytes + b.HeaderBytes,
+		MaxWriteBufferSize: b.BodyBytes + b.HeaderBytes,
 	})
 	if err := e.Start(); err != nil {
 		return nil, &Error{Op: "start", Kind: KindStart, Err: err}
@@ -53,6 +56,12 @@
 	return &Exchanger{engine: e, bounds: b, closed: make(chan struct{})}, nil
 }
 
+// WithDialer returns the exchanger with another way to open connections.
+func (e *Exchanger) WithDialer(d net.Dialer) *Exchanger {
+	e.dialer = d
+	return e
+}
+
 // Close closes all connections and stops the engine; exchanges in flight fail.
 func (e *Exchanger) Close() {
 	e.once.Do(func() {
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -15,6 +15,9 @@
 	DefaultConnections = 64
 	// DefaultIdleAge is the time after which an idle connection is closed.
 	DefaultIdleAge = 10 * time.Second
+	// keepPercent is the part of the time that a server keeps an idle connection within which it
+	// is used again.
+	keepPercent = 60
 )
 
 // PoolConfig sets up a pool.
@@ -62,7 +65,15 @@
 
 // Exchange makes one exchange on an idle connection or a new one.
 func (p *Pool) Exchange(ctx context.Context, r *Request) (*Answer, error) {
-	if c := p.takeIdle(); c != nil {
+	return p.ExchangeRecent(ctx, r, p.cfg.IdleAge)
+}
+
+// ExchangeRecent makes one exchange on a connection that was idle for less than age, or on a new
+// one.
+func (p *Pool) ExchangeRecent(
+	ctx context.Context, r *Request, age time.Duration,
+) (*Answer, error) {
+	if c := p.takeIdle(age); c != nil {
 		return p.run(ctx, c, r)
 	}
 	return p.ExchangeFresh(ctx, r)
@@ -135,12 +146,14 @@
 	return a, err
 }
 
-func (p *Pool) takeIdle() *Conn {
+// takeIdle returns the connection that was used last, if it was idle for less than age.
+func (p *Pool) takeIdle(age time.Duration) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.prune(p.cfg.Now())
+	now := p.cfg.Now()
+	p.prune(now)
 	n := len(p.idle)
-	if n == 0 {
+	if n == 0 || now.Sub(p.idle[n-1].since) >= age {
 		return nil
 	}
 	c := p.idle[n-1].conn
@@ -200,7 +213,7 @@
 func (p *Pool) prune(now timer.Instant) {
 	kept := p.idle[:0]
 	for _, i := range p.idle {
-		if now.Sub(i.since) >= p.cfg.IdleAge || !i.conn.Usable() {
+		if now.Sub(i.since) >= p.idleAge(i.conn) || !i.conn.Usable() {
 			p.drop(i.conn)
 			continue
 		}
@@ -209,6 +222,14 @@
 	p.idle = kept
 }
 
+// idleAge is how long a connection may be idle: well below the time that its server states.
+func (p *Pool) idleAge(c *Conn) time.Duration {
+	if keep := c.keepAlive(); keep > 0 {
+		return min(p.cfg.IdleAge, keep*keepPercent/100)
+	}
+	return p.cfg.IdleAge
+}
+
 func (p *Pool) drop(c *Conn) {
 	c.Close()
 	delete(p.open, c)
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -15,8 +15,10 @@
 
 // Request is one request to a server.
 type Request struct {
-	// ID is sent as HeaderRequest and compared with the answer's; it may be empty.
+	// ID is sent in the field IDHeader and compared with the answer's; it may be empty.
 	ID string
+	// IDHeader is the header field that carries ID; empty stands for HeaderRequest.
+	IDHeader string
 	// Method is the HTTP method.
 	Method string
 	// Path is the request target: an absolute path and perhaps a query.
@@ -63,13 +65,20 @@
 	return r.Host
 }
 
+func (r *Request) idHeader() string {
+	if r.IDHeader == "" {
+		return HeaderRequest
+	}
+	return r.IDHeader
+}
+
 func (r *Request) header() http.Header {
 	h := r.Header.Clone()
 	if h == nil {
 		h = http.Header{}
 	}
 	if r.ID != "" {
-		h.Set(HeaderRequest, r.ID)
+		h.Set(r.idHeader(), r.ID)
 	}
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "")
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -103,7 +103,7 @@
 
 // outgoing returns the header fields that the target receives.
 func outgoing(ctx context.Context, r *Request) http.Header {
-	h := endToEnd(r.Header)
+	h := EndToEnd(r.Header)
 	h.Set(HeaderCustomer, r.Customer)
 	if r.Customer == "" {
 		h.Del(HeaderCustomer)
@@ -120,11 +120,20 @@
 
 // incoming returns the header fields that the caller receives.
 func incoming(header http.Header) http.Header {
-	return endToEnd(header)
+	return EndToEnd(header)
 }
 
-// endToEnd returns the header without the fields that concern one connection or the system.
-func endToEnd(header http.Header) http.Header {
+// Drop removes a field from the header, also where a server reads "_" as "-".
+func Drop(header http.Header, name string) {
+	for other := range header {
+		if strings.EqualFold(strings.ReplaceAll(other, "_", "-"), name) {
+			delete(header, other)
+		}
+	}
+}
+
+// EndToEnd returns the header without the fields that concern one connection or the system.
+func EndToEnd(header http.Header) http.Header {
 	h := http.Header{}
 	named := connectionNames(header)
 	for name, values := range header {
--- /dev/null
+++ b/selector/spread.go
@@ -0,0 +1,229 @@
+package selector
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const (
+	// TickPeriod is the time between two calls of Tick.
+	TickPeriod = 250 * time.Millisecond
+	// ShiftWindow is the time for which ShiftMax holds.
+	ShiftWindow = 2 * time.Second
+	// shiftPart is the part of ShiftMax that the spread may use up by itself.
+	shiftPart = 0.65
+	// zoneStep is the part of the way to the aim that one tick may go.
+	zoneStep = 0.3
+	// demandAge is the age from which a host's demand counts for nothing.
+	demandAge = 5 * time.Second
+	// leastFill is the part of an availability zone's slots that its own callers may use before
+	// others are asked.
+	leastFill = 0.55
+	// fillMargin is how much fuller than on average a zone may be.
+	fillMargin = 1.1
+	// coldPart is the part of a cold target's slots that counts as room.
+	coldPart = 0.25
+	// guessFill is the demand, as a part of all slots, before any was measured.
+	guessFill = 0.8
+)
+
+// spread moves the shares of the availability zones towards the aim, region by region within the
+// bound on shifts.
+func (s *Selector) spread(now timer.Instant, name string, v *service) {
+	aim := s.aim(now, name, v)
+	if aim == nil {
+		return
+	}
+	if v.shares == nil {
+		v.shares = aim
+		return
+	}
+	step := zoneStep
+	if shift := s.regionShift(v.shares, aim); s.cfg.ShiftMax > 0 && shift > 0 {
+		most := s.cfg.ShiftMax * shiftPart * TickPeriod.Seconds() / ShiftWindow.Seconds()
+		step = min(step, most/shift)
+	}
+	for zone := range s.cfg.Regions {
+		v.shares[zone] += step * (aim[zone] - v.shares[zone])
+	}
+}
+
+// regionShift is the part of the requests that would change their region.
+func (s *Selector) regionShift(from, to map[string]float64) float64 {
+	change := map[string]float64{}
+	for zone, region := range s.cfg.Regions {
+		change[region] += to[zone] - from[zone]
+	}
+	sum := 0.0
+	for _, c := range change {
+		sum += math.Abs(c)
+	}
+	return sum / 2
+}
+
+// aim distributes the demand of all zones over the room of all zones, near before far, and returns
+// the shares of this host's zone.
+func (s *Selector) aim(now timer.Instant, name string, v *service) map[string]float64 {
+	room, total := s.room(now, v)
+	if total == 0 {
+		return nil
+	}
+	demand, asked := s.demand(now, name, total)
+	fill := max(leastFill, fillMargin*asked/total)
+	m := newMatrix(s.cfg.Regions, demand, room, fill)
+	m.serveOwn()
+	m.serveRegion()
+	m.serveAll()
+	return m.row(s.cfg.Zone)
+}
+
+// room returns the slots of each zone's targets that can be used.
+func (s *Selector) room(now timer.Instant, v *service) (map[string]float64, float64) {
+	room := map[string]float64{}
+	total := 0.0
+	for zone, list := range v.zones {
+		if s.evacuated[zone] {
+			continue
+		}
+		for _, t := range list {
+			if !t.sound(now) {
+				continue
+			}
+			slots := float64(t.Slots) / max(t.slowness, 1)
+			if t.cold(now) {
+				slots *= coldPart
+			}
+			room[zone] += slots
+			total += slots
+		}
+	}
+	return room, total
+}
+
+// demand sums what hosts tell by zone; before any of them tells, all zones ask alike.
+func (s *Selector) demand(
+	now timer.Instant, name string, total float64,
+) (map[string]float64, float64) {
+	demand := map[string]float64{}
+	sum := 0.0
+	for _, d := range s.demands {
+		if now.Sub(d.At) <= demandAge {
+			demand[d.Zone] += d.Busy[name]
+			sum += d.Busy[name]
+		}
+	}
+	if sum >= 1 {
+		return demand, sum
+	}
+	for zone := range s.cfg.Regions {
+		demand[zone] = guessFill * total / float64(len(s.cfg.Regions))
+	}
+	return demand, guessFill * total
+}
+
+// matrix distributes demand over room.
+type matrix struct {
+	regions map[string]string
+	zones   []string
+	want    map[string]float64
+	left    map[string]float64
+	given   map[string]map[string]float64
+}
+
+func newMatrix(
+	regions map[string]string, demand, room map[string]float64, fill float64,
+) *matrix {
+	m := &matrix{
+		regions: regions,
+		want:    map[string]float64{},
+		left:    map[string]float64{},
+		given:   map[string]map[string]float64{},
+	}
+	for zone := range regions {
+		m.zones = append(m.zones, zone)
+		m.want[zone] = demand[zone]
+		m.left[zone] = room[zone] * fill
+		m.given[zone] = map[string]float64{}
+	}
+	sort.Strings(m.zones)
+	return m
+}
+
+func (m *matrix) serveOwn() {
+	for _, zone := range m.zones {
+		m.give(zone, zone, min(m.want[zone], m.left[zone]))
+	}
+}
+
+func (m *matrix) serveRegion() {
+	m.share(func(from, to string) bool { return m.regions[from] == m.regions[to] })
+}
+
+func (m *matrix) serveAll() {
+	m.share(func(string, string) bool { return true })
+}
+
+// share serves what zones still want from the room that is left in the zones they may use, each
+// zone by its part of the want.
+func (m *matrix) share(allowed func(from, to string) bool) {
+	want := make(map[string]float64, len(m.zones))
+	left := make(map[string]float64, len(m.zones))
+	for _, zone := range m.zones {
+		want[zone], left[zone] = m.want[zone], m.left[zone]
+	}
+	for _, from := range m.zones {
+		wanted, room := 0.0, 0.0
+		for _, to := range m.zones {
+			if allowed(from, to) {
+				wanted += want[to]
+				room += left[to]
+			}
+		}
+		if want[from] <= 0 || room <= 0 {
+			continue
+		}
+		served := min(1, room/wanted)
+		for _, to := range m.zones {
+			if allowed(from, to) {
+				m.give(from, to, want[from]*served*left[to]/room)
+			}
+		}
+	}
+}
+
+func (m *matrix) give(from, to string, amount float64) {
+	if amount <= 0 {
+		return
+	}
+	m.given[from][to] += amount
+	m.want[from] -= amount
+	m.left[to] -= amount
+}
+
+// row returns the shares of one zone's requests; without demand it is as if there were little.
+func (m *matrix) row(zone string) map[string]float64 {
+	sum := 0.0
+	for _, amount := range m.given[zone] {
+		sum += amount
+	}
+	if sum == 0 {
+		m.want[zone] = 1
+		m.serveOwn()
+		m.serveRegion()
+		m.serveAll()
+		for _, amount := range m.given[zone] {
+			sum += amount
+		}
+	}
+	if sum == 0 {
+		return nil
+	}
+	shares := map[string]float64{}
+	for to, amount := range m.given[zone] {
+		shares[to] = amount / sum
+	}
+	return shares
+}
--- a/server/config.go
+++ b/server/config.go
@@ -17,6 +17,25 @@
 	// Idle is the time after which a connection without a whole request, or with an answer that its
 	// caller does not take, is closed.
 	Idle time.Duration
+	// Current returns bounds that may change while the server runs; nil stands for those above.
+	Current func() Bounds
+}
+
+// Bounds are the bounds that may change while the server runs.
+type Bounds struct {
+	// BodyBytes is the largest request body.
+	BodyBytes int
+	// HeaderBytes is the largest request line and header together.
+	HeaderBytes int
+	// HeaderTime is how long a caller may take to send a header.
+	HeaderTime time.Duration
+}
+
+func (c *Config) bounds() Bounds {
+	if c.Current != nil {
+		return c.Current()
+	}
+	return Bounds{BodyBytes: c.BodyBytes, HeaderBytes: c.HeaderBytes, HeaderTime: c.Idle}
 }
 
 const (
--- a/server/connection.go
+++ b/server/connection.go
@@ -21,6 +21,8 @@
 	broken atomic.Bool
 	// started is the time, in Unix nanoseconds, at which an unfinished request began; 0 is none.
 	started atomic.Int64
+	// headed is set once the header of the unfinished request has been read.
+	headed atomic.Bool
 	// closing is set once an answer asked the caller to close the connection.
 	closing atomic.Bool
 
@@ -44,6 +46,7 @@
 	}
 	c.pending++
 	c.started.Store(0)
+	c.headed.Store(false)
 	return true
 }
 
@@ -62,7 +65,7 @@
 
 // receive parses data; a fault is answered unless another answer is due.
 func (c *connection) receive(data []byte) {
-	if c.broken.Load() || (c.closing.Load() && c.idle()) {
+	if len(data) == 0 || c.broken.Load() || (c.closing.Load() && c.idle()) {
 		return
 	}
 	c.started.CompareAndSwap(0, time.Now().UnixNano())
@@ -91,8 +94,12 @@
 	_ = c.raw.SetReadDeadline(time.Now().Add(linger))
 }
 
-// expire refuses a request whose sender takes longer than limit.
-func (c *connection) expire(now time.Time, limit time.Duration) {
+// expire refuses a request whose sender takes too long.
+func (c *connection) expire(now time.Time, cfg *Config) {
+	limit := cfg.Idle
+	if !c.headed.Load() {
+		limit = min(limit, cfg.bounds().HeaderTime)
+	}
 	started := c.started.Load()
 	if started != 0 && now.UnixNano()-started >= int64(limit) {
 		c.refuse(slowSender())
--- a/server/fault.go
+++ b/server/fault.go
@@ -31,6 +31,14 @@
 	return &fault{http.StatusBadRequest, "the request states its length more than once"}
 }
 
+func malformedField(name string) *fault {
+	return &fault{http.StatusBadRequest, "the header field " + name + " is malformed"}
+}
+
+func wrongHost() *fault {
+	return &fault{http.StatusBadRequest, "the request does not name one host"}
+}
+
 func slowSender() *fault {
 	return &fault{http.StatusRequestTimeout, "the request did not arrive in time"}
 }
--- a/server/processor.go
+++ b/server/processor.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,11 +17,23 @@
 	lengths     int
 	encodings   int
 	bodyBytes   int
-	fault       *fault
+	hosts       int
+	// fault is the first breach on the connection; nothing after it is served.
+	fault *fault
 	// plain is set once the whole header has been read and bears no operation identity; the sweep
 	// reads it from its own goroutine.
 	plain     atomic.Bool
 	operation bool
+	// modern is set for requests of HTTP/1.1.
+	modern bool
+}
+
+func (p *processor) bounds() Bounds {
+	return p.cfg.bounds()
+}
+
+func isDigits(s string) bool {
+	return s != "" && strings.Trim(s, "0123456789") == ""
 }
 
 // OnMethod starts a request.
@@ -29,16 +42,22 @@
 	p.lengths = 0
 	p.encodings = 0
 	p.bodyBytes = 0
-	p.fault = nil
+	p.hosts = 0
 	p.operation = false
 	p.plain.Store(false)
 	p.ServerProcessor.OnMethod(parser, method)
 }
 
+// OnProto notes whether the request has to name its host.
+func (p *processor) OnProto(parser *nbhttp.Parser, proto string) error {
+	p.modern = proto == "HTTP/1.1"
+	return p.ServerProcessor.OnProto(parser, proto)
+}
+
 // OnURL counts the request line towards the header bound.
 func (p *processor) OnURL(parser *nbhttp.Parser, uri string) error {
 	p.headerBytes += len(uri)
-	if p.headerBytes > p.cfg.HeaderBytes {
+	if p.headerBytes > p.bounds().HeaderBytes {
 		return headerTooLarge()
 	}
 	return p.ServerProcessor.OnURL(parser, uri)
@@ -50,15 +69,26 @@
 	switch key {
 	case "Content-Length":
 		p.lengths++
+		if !isDigits(value) {
+			p.fail(malformedField(key))
+		}
 	case "Transfer-Encoding":
 		p.encodings++
+		if !strings.EqualFold(strings.TrimSpace(value), "chunked") {
+			p.fail(malformedField(key))
+		}
+	case "Host":
+		p.hosts++
 	case headerOperation:
 		p.operation = true
 	}
-	if p.headerBytes > p.cfg.HeaderBytes {
+	if p.headerBytes > p.bounds().HeaderBytes {
 		p.fail(headerTooLarge())
 		return
 	}
+	if strings.ContainsAny(value, "\n\r\x00") {
+		p.fail(malformedField(key))
+	}
 	if p.lengths+p.encodings > 1 {
 		p.fail(ambiguousLength())
 	}
@@ -68,7 +98,11 @@
 // OnContentLength refuses a length above the body bound.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	p.plain.Store(!p.operation)
-	if length > p.cfg.BodyBytes {
+	p.conn.headed.Store(true)
+	if p.hosts > 1 || p.hosts == 0 && p.modern {
+		p.fail(wrongHost())
+	}
+	if length > p.bounds().BodyBytes {
 		p.fail(bodyTooLarge())
 	}
 	p.ServerProcessor.OnContentLength(parser, length)
@@ -77,7 +111,7 @@
 // OnBody refuses a body above the bound.
 func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
 	p.bodyBytes += len(data)
-	if p.bodyBytes > p.cfg.BodyBytes {
+	if p.bodyBytes > p.bounds().BodyBytes {
 		return bodyTooLarge()
 	}
 	return p.ServerProcessor.OnBody(parser, data)
--- a/server/server.go
+++ b/server/server.go
@@ -98,7 +98,7 @@
 		case now := <-ticker.C:
 			s.conns.Range(func(_, v interface{}) bool {
 				if c, ok := v.(*connection); ok {
-					c.expire(now, s.cfg.Idle)
+					c.expire(now, &s.cfg)
 				}
 				return true
 			})
@@ -239,4 +239,8 @@
 	}
 	s.handler.ServeHTTP(w, r.WithContext(c.ctx))
 	_ = c.raw.SetWriteDeadline(time.Now().Add(s.cfg.Idle))
+	if c.closing.Load() {
+		// The engine closes without waiting for its write queue: leave the answer time to arrive.
+		_ = c.raw.SetReadDeadline(time.Now().Add(linger))
+	}
 }
--- /dev/null
+++ b/sharer/sharer.go
@@ -0,0 +1,230 @@
+package sharer
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/fescuethread/fescuethread/planner"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const (
+	// askHorizon is the time for whose demand a host wants to hold tokens.
+	askHorizon = 500 * time.Millisecond
+	// askPeriod is the shortest time between two requests for one customer's tokens.
+	askPeriod = 60 * time.Millisecond
+	// demandTerm is the time constant of the average demand.
+	demandTerm = time.Second
+	// keepPart is the part of its own tokens that a host never gives away.
+	keepPart = 0.25
+)
+
+// Reason says why a request was admitted or not.
+type Reason string
+
+const (
+	// ReasonAdmitted means that a token was spent, or that the customer has no limit.
+	ReasonAdmitted Reason = "admitted"
+	// ReasonRate means that this host holds no token.
+	ReasonRate Reason = "rate"
+)
+
+// Spare is what a host could give away of a customer's rate.
+type Spare struct {
+	// Customer is the customer.
+	Customer string
+	// Tokens is a number of whole requests.
+	Tokens uint32
+}
+
+// Need is what a host lacks of a customer's rate.
+type Need struct {
+	// Customer is the customer.
+	Customer string
+	// Tokens is a number of whole requests.
+	Tokens uint32
+}
+
+// Sharer holds this host's tokens; it is safe for concurrent use.
+//
+// Each of the fleet's hosts accrues an equal part of a customer's rate, up to an equal part of the
+// burst. Tokens move by debit first and credit later, and a process starts without any, so their
+// sum never exceeds the burst, and a lost message only loses tokens.
+type Sharer struct {
+	mu       sync.Mutex
+	hosts    int
+	from     timer.Instant
+	accounts map[string]*account
+}
+
+type account struct {
+	rate    float64
+	burst   float64
+	tokens  float64
+	at      timer.Instant
+	demand  float64
+	asked   timer.Instant
+	arrived float64
+	since   timer.Instant
+}
+
+// New returns a sharer that holds no tokens and accrues none before Open.
+func New() *Sharer {
+	return &Sharer{hosts: 1, from: math.MaxInt64, accounts: map[string]*account{}}
+}
+
+// Open lets tokens accrue from the instant on: by then every host that spends counts this one.
+func (s *Sharer) Open(at timer.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.from = at
+	for _, a := range s.accounts {
+		a.at = max(a.at, at)
+	}
+}
+
+// OpenSince reports whether tokens accrue at the instant.
+func (s *Sharer) OpenSince(now timer.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !now.Before(s.from)
+}
+
+// Configure takes the limits in force and the number of hosts that share them.
+func (s *Sharer) Configure(now timer.Instant, customers []planner.Customer, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	hosts = max(hosts, 1)
+	kept := make(map[string]*account, len(customers))
+	for i := range customers {
+		c := &customers[i]
+		if c.Rate <= 0 {
+			continue
+		}
+		a, ok := s.accounts[c.Name]
+		if !ok {
+			a = &account{at: max(now, s.from), since: now}
+		}
+		s.accrue(now, a)
+		a.rate = c.Rate / float64(hosts)
+		a.burst = max(c.Burst, 1) / float64(hosts)
+		a.tokens = min(a.tokens, a.burst)
+		kept[c.Name] = a
+	}
+	s.hosts = hosts
+	s.accounts = kept
+}
+
+// Admit spends one token of the customer.
+func (s *Sharer) Admit(now timer.Instant, customer string) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok {
+		return ReasonAdmitted
+	}
+	a.arrived++
+	s.accrue(now, a)
+	if a.tokens < 1 {
+		return ReasonRate
+	}
+	a.tokens--
+	return ReasonAdmitted
+}
+
+// Wait returns how long a customer that was not admitted waits for this host's next token.
+func (s *Sharer) Wait(customer string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok || a.rate <= 0 {
+		return 0
+	}
+	return time.Duration(max(1-a.tokens, 0) / a.rate * float64(time.Second))
+}
+
+// Spares lists what this host could give away.
+func (s *Sharer) Spares(now timer.Instant) []Spare {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var spares []Spare
+	for name, a := range s.accounts {
+		s.accrue(now, a)
+		if n := uint32(a.spare()); n > 0 {
+			spares = append(spares, Spare{Customer: name, Tokens: n})
+		}
+	}
+	return spares
+}
+
+// Needs lists the customers for which this host is about to run out of tokens.
+func (s *Sharer) Needs(now timer.Instant) []Need {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var needs []Need
+	for name, a := range s.accounts {
+		s.accrue(now, a)
+		a.measure(now)
+		want := min(a.demand*askHorizon.Seconds(), a.burst)
+		if a.tokens >= want || now.Sub(a.asked) < askPeriod {
+			continue
+		}
+		if n := uint32(math.Ceil(a.burst - a.tokens)); n > 0 {
+			a.asked = now
+			needs = append(needs, Need{Customer: name, Tokens: n})
+		}
+	}
+	return needs
+}
+
+// Give debits up to the wanted number of tokens for another host and returns their number.
+func (s *Sharer) Give(now timer.Instant, customer string, wanted uint32) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok {
+		return 0
+	}
+	s.accrue(now, a)
+	n := min(wanted, uint32(a.spare()))
+	a.tokens -= float64(n)
+	return n
+}
+
+// Take credits tokens that another host has debited; what exceeds the share is lost.
+func (s *Sharer) Take(now timer.Instant, customer string, tokens uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok || now.Before(s.from) {
+		return
+	}
+	s.accrue(now, a)
+	a.tokens = min(a.tokens+float64(tokens), a.burst)
+}
+
+func (s *Sharer) accrue(now timer.Instant, a *account) {
+	if now <= a.at || now.Before(s.from) {
+		return
+	}
+	a.tokens = min(a.tokens+now.Sub(a.at).Seconds()*a.rate, a.burst)
+	a.at = now
+}
+
+// spare is what is left beyond the demand of the near future.
+func (a *account) spare() float64 {
+	return max(a.tokens-max(a.demand*askHorizon.Seconds(), keepPart*a.burst), 0)
+}
+
+// measure folds the arrivals since the last look into the average demand.
+func (a *account) measure(now timer.Instant) {
+	took := now.Sub(a.since)
+	if took <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-took.Seconds()/demandTerm.Seconds())
+	a.demand += weight * (a.arrived/took.Seconds() - a.demand)
+	a.arrived = 0
+	a.since = now
+}
