sharer: let tokens accrue when the plan is known before the opening

Cause: a restarted host knew the plan before it was registered; its accounts began at the instant of the opening that wasn't known yet and never accrued, so it refused all keyed requests (429). An equal part of a small burst was also less than one request. Change: accounts begin now and accrue from the opening on; caps use half of the users' allowance; a request without a token asks three peers at once and waits up to 150 ms.

--- a/conductor/duty.go
+++ b/conductor/duty.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/sharer"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -21,6 +23,8 @@
 	// openMargin is how much longer than the proof term a fresh host waits before it uses its
 	// shares: until then hosts that haven't heard of it may use them.
 	openMargin = 200 * time.Millisecond
+	// askedPeers is the number of peers that are asked for tokens at once.
+	askedPeers = 3
 	// thousand turns a number of requests into thousandths.
 	thousand = 1000
 )
@@ -140,31 +144,55 @@
 			return nil
 		case t := <-ticks.C():
 			for _, need := range h.sharer.Needs(t.At) {
-				if p, ok := h.richest(t.At, need.Customer); ok {
-					h.announcer.Send(p, &messenger.Datagram{Plea: &messenger.Plea{
-						Host: h.self.Name, Customer: need.Customer, Tokens: need.Tokens,
-					}})
-				}
+				h.plead(t.At, need)
 			}
 		}
 	}
 }
 
-// richest returns the live peer that could spare most of a customer's rate.
-func (h *Host) richest(now timer.Instant, customer string) (announcer.Peer, bool) {
-	var best announcer.Peer
-	most := uint32(0)
+// askForTokens asks peers at once for a customer whose request waits for a token.
+func (h *Host) askForTokens(customer string) {
+	now := timer.Now()
+	if need, ok := h.sharer.Need(now, customer); ok {
+		h.plead(now, need)
+	}
+}
+
+// plead asks the peers that could spare most; several, since what they told may be outdated.
+func (h *Host) plead(now timer.Instant, need sharer.Need) {
+	peers := h.richest(now, need.Customer)
+	for _, p := range peers {
+		h.announcer.Send(p, &messenger.Datagram{Plea: &messenger.Plea{
+			Host:     h.self.Name,
+			Customer: need.Customer,
+			Tokens:   need.Tokens/uint32(len(peers)) + 1,
+		}})
+	}
+}
+
+// richest returns the live peers that could spare most of a customer's rate.
+func (h *Host) richest(now timer.Instant, customer string) []announcer.Peer {
+	type offer struct {
+		peer   announcer.Peer
+		tokens uint32
+	}
+	var offers []offer
 	for _, p := range h.roster.Peers() {
 		if !p.Live(now, announcer.LiveTerm) {
 			continue
 		}
 		for _, s := range p.Beat.GetSpares() {
-			if s.GetCustomer() == customer && s.GetTokens() > most {
-				best, most = p, s.GetTokens()
+			if s.GetCustomer() == customer {
+				offers = append(offers, offer{peer: p, tokens: s.GetTokens()})
 			}
 		}
 	}
-	return best, most > 0
+	sort.Slice(offers, func(i, j int) bool { return offers[i].tokens > offers[j].tokens })
+	peers := make([]announcer.Peer, 0, askedPeers)
+	for _, o := range offers[:min(len(offers), askedPeers)] {
+		peers = append(peers, o.peer)
+	}
+	return peers
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -167,7 +167,11 @@
 		ColdSlack:  h.settings.Bounds.ColdSlack,
 		ShiftMax:   h.settings.Bounds.ShiftMax,
 	})
-	h.sharer = sharer.New()
+	h.sharer = sharer.New(sharer.Allowance{
+		Window: h.settings.Bounds.QuotaWindow(),
+		Excess: h.settings.Bounds.QuotaExcess,
+		Slack:  h.settings.Bounds.QuotaSlack,
+	})
 	h.isolator = isolator.New()
 	h.follower = follower.New(h.store, sink{h}, h.log)
 	if h.sender, err = steerer.NewSender(); err != nil {
@@ -182,6 +186,7 @@
 		Plans:    h.follower,
 		Targets:  h.selector,
 		Shares:   h.sharer,
+		Ask:      h.askForTokens,
 		Isolator: h.isolator,
 		Sender:   h.sender,
 		Log:      h.log,
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -46,14 +46,35 @@
 	Tokens uint32
 }
 
+// Allowance is what the users allow beyond a customer's rate and burst in each window.
+type Allowance struct {
+	// Window is the length of the window.
+	Window time.Duration
+	// Excess is a part of the rate in the window and the burst.
+	Excess float64
+	// Slack is a number of requests.
+	Slack float64
+}
+
+// allowancePart is the part of the allowance that the hosts' caps use up; the rest is for the time
+// that a change of the limits takes to reach all hosts.
+const allowancePart = 0.5
+
+// beyond is what the caps of all hosts together may hold beyond the burst: without it an equal
+// part of a small burst would be less than one request.
+func (a Allowance) beyond(rate, burst float64) float64 {
+	return allowancePart * (a.Slack + a.Excess*(rate*a.Window.Seconds()+burst))
+}
+
 // Sharer holds this host's tokens; it is safe for concurrent use.
 //
 // Each of the fleet's hosts accrues an equal part of a customer's rate, up to an equal part of the
-// burst. Tokens move by debit first and credit later, and a process starts without any, so their
-// sum never exceeds the burst, and a lost message only loses tokens.
+// burst and the allowance. Tokens move by debit first and credit later, and a process starts without any, so their
+// sum never exceeds both, and a lost message only loses tokens.
 type Sharer struct {
+	allowance Allowance
+
 	mu       sync.Mutex
-	hosts    int
 	from     timer.Instant
 	accounts map[string]*account
 }
@@ -70,8 +91,8 @@
 }
 
 // New returns a sharer that holds no tokens and accrues none before Open.
-func New() *Sharer {
-	return &Sharer{hosts: 1, from: math.MaxInt64, accounts: map[string]*account{}}
+func New(a Allowance) *Sharer {
+	return &Sharer{allowance: a, from: math.MaxInt64, accounts: map[string]*account{}}
 }
 
 // Open lets tokens accrue from the instant on: by then every host that spends counts this one.
@@ -80,7 +101,7 @@
 	defer s.mu.Unlock()
 	s.from = at
 	for _, a := range s.accounts {
-		a.at = max(a.at, at)
+		a.at = at
 	}
 }
 
@@ -104,15 +125,15 @@
 		}
 		a, ok := s.accounts[c.Name]
 		if !ok {
-			a = &account{at: max(now, s.from), since: now}
+			a = &account{at: now, since: now}
 		}
 		s.accrue(now, a)
 		a.rate = c.Rate / float64(hosts)
-		a.burst = max(c.Burst, 1) / float64(hosts)
+		burst := max(c.Burst, 1)
+		a.burst = (burst + s.allowance.beyond(c.Rate, burst)) / float64(hosts)
 		a.tokens = min(a.tokens, a.burst)
 		kept[c.Name] = a
 	}
-	s.hosts = hosts
 	s.accounts = kept
 }
 
@@ -125,6 +146,21 @@
 		return ReasonAdmitted
 	}
 	a.arrived++
+	return s.spend(now, a)
+}
+
+// AdmitAgain spends one token for a request that was counted already.
+func (s *Sharer) AdmitAgain(now timer.Instant, customer string) Reason {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok {
+		return ReasonAdmitted
+	}
+	return s.spend(now, a)
+}
+
+func (s *Sharer) spend(now timer.Instant, a *account) Reason {
 	s.accrue(now, a)
 	if a.tokens < 1 {
 		return ReasonRate
@@ -166,18 +202,29 @@
 	for name, a := range s.accounts {
 		s.accrue(now, a)
 		a.measure(now)
-		want := min(a.demand*askHorizon.Seconds(), a.burst)
-		if a.tokens >= want || now.Sub(a.asked) < askPeriod {
+		if a.tokens >= min(a.demand*askHorizon.Seconds(), a.burst) {
 			continue
 		}
-		if n := uint32(math.Ceil(a.burst - a.tokens)); n > 0 {
-			a.asked = now
+		if n, ok := a.ask(now); ok {
 			needs = append(needs, Need{Customer: name, Tokens: n})
 		}
 	}
 	return needs
 }
 
+// Need returns what this host lacks of one customer's rate, unless it has just asked for it.
+func (s *Sharer) Need(now timer.Instant, customer string) (Need, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a, ok := s.accounts[customer]
+	if !ok {
+		return Need{}, false
+	}
+	s.accrue(now, a)
+	n, ok := a.ask(now)
+	return Need{Customer: customer, Tokens: n}, ok
+}
+
 // Give debits up to the wanted number of tokens for another host and returns their number.
 func (s *Sharer) Give(now timer.Instant, customer string, wanted uint32) uint32 {
 	s.mu.Lock()
@@ -205,13 +252,26 @@
 }
 
 func (s *Sharer) accrue(now timer.Instant, a *account) {
-	if now <= a.at || now.Before(s.from) {
+	if now.Before(s.from) {
+		a.at = s.from
+		return
+	}
+	if now <= a.at {
 		return
 	}
 	a.tokens = min(a.tokens+now.Sub(a.at).Seconds()*a.rate, a.burst)
 	a.at = now
 }
 
+func (a *account) ask(now timer.Instant) (uint32, bool) {
+	n := uint32(math.Ceil(a.burst - a.tokens))
+	if n == 0 || now.Sub(a.asked) < askPeriod {
+		return 0, false
+	}
+	a.asked = now
+	return n, true
+}
+
 // spare is what is left beyond the demand of the near future.
 func (a *account) spare() float64 {
 	return max(a.tokens-max(a.demand*askHorizon.Seconds(), keepPart*a.burst), 0)
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,144 @@
+package sharer
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fescuethread/fescuethread/planner"
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+const start = timer.Instant(time.Hour)
+
+var allowance = Allowance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
+func customer(rate, burst float64) []planner.Customer {
+	return []planner.Customer{{Name: "mill", Rate: rate, Burst: burst}}
+}
+
+func admitted(s *Sharer, now timer.Instant, tries int) int {
+	n := 0
+	for range tries {
+		if s.Admit(now, "mill") == ReasonAdmitted {
+			n++
+		}
+	}
+	return n
+}
+
+func TestTokensAccrueWhenThePlanComesBeforeTheOpening(t *testing.T) {
+	s := New(allowance)
+	s.Configure(start, customer(100, 100), 1)
+	s.Open(start)
+	if n := admitted(s, start.Add(time.Second), 200); n < 90 {
+		t.Fatalf("%d of 100 a second were admitted", n)
+	}
+}
+
+func TestNothingIsSpentBeforeTheOpening(t *testing.T) {
+	s := New(allowance)
+	s.Configure(start, customer(100, 100), 1)
+	s.Open(start.Add(5 * time.Second))
+	s.Take(start, "mill", 50)
+	if n := admitted(s, start.Add(4*time.Second), 10); n > 0 {
+		t.Fatalf("%d were admitted", n)
+	}
+	if n := admitted(s, start.Add(5100*time.Millisecond), 200); n > 11 {
+		t.Fatalf("%d were admitted 100 ms after the opening", n)
+	}
+}
+
+// TestSmallCustomerIsServedAtEveryHost: an equal part of a small burst is less than one request.
+func TestSmallCustomerIsServedAtEveryHost(t *testing.T) {
+	s := New(allowance)
+	s.Configure(start, customer(4, 4), 7)
+	s.Open(start)
+	if n := admitted(s, start.Add(10*time.Second), 5); n < 1 {
+		t.Fatal("no request was admitted after 10 s without any")
+	}
+}
+
+// fleet is hosts that share one customer's rate and lose some of each other's messages.
+type fleet struct {
+	hosts []*Sharer
+	now   timer.Instant
+	spent []timer.Instant
+}
+
+// broken variant of the move: the giver keeps what it gives.
+type move func(t *rapid.T, f *fleet, from, to *Sharer)
+
+func debitFirst(t *rapid.T, f *fleet, from, to *Sharer) {
+	n := from.Give(f.now, "mill", uint32(rapid.IntRange(1, 60).Draw(t, "wanted")))
+	if rapid.IntRange(0, 4).Draw(t, "lost") > 0 {
+		to.Take(f.now, "mill", n)
+	}
+}
+
+func creditOnly(t *rapid.T, f *fleet, _, to *Sharer) {
+	to.Take(f.now, "mill", uint32(rapid.IntRange(1, 60).Draw(t, "wanted")))
+}
+
+// exceeds plays hosts that spend, move tokens, die and return, and reports whether a window held
+// more requests than the users allow.
+func exceeds(t *rapid.T, m move) bool {
+	rate := float64(rapid.IntRange(1, 100).Draw(t, "rate"))
+	f := &fleet{now: start}
+	count := rapid.IntRange(1, 9).Draw(t, "hosts")
+	for range count {
+		s := New(allowance)
+		s.Configure(f.now, customer(rate, rate), count)
+		s.Open(f.now)
+		f.hosts = append(f.hosts, s)
+	}
+	for range 60 {
+		f.now = f.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "step")) * time.Millisecond)
+		i := rapid.IntRange(0, count-1).Draw(t, "host")
+		switch rapid.IntRange(0, 9).Draw(t, "event") {
+		case 0:
+			f.hosts[i] = New(allowance)
+			f.hosts[i].Configure(f.now, customer(rate, rate), count)
+			f.hosts[i].Open(f.now)
+		case 1, 2, 3:
+			m(t, f, f.hosts[i], f.hosts[rapid.IntRange(0, count-1).Draw(t, "to")])
+		default:
+			for range admitted(f.hosts[i], f.now, rapid.IntRange(1, 200).Draw(t, "asked")) {
+				f.spent = append(f.spent, f.now)
+			}
+		}
+	}
+	return f.most(allowance.Window) > (rate*allowance.Window.Seconds()+rate)*
+		(1+allowance.Excess)+allowance.Slack
+}
+
+// most returns the largest number of requests in any window.
+func (f *fleet) most(window time.Duration) float64 {
+	most, from := 0, 0
+	for i, at := range f.spent {
+		for at.Sub(f.spent[from]) >= window {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return float64(most)
+}
+
+func TestAllHostsTogetherKeepTheRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if exceeds(t, debitFirst) {
+			t.Fatal("a window held more than the users allow")
+		}
+	})
+}
+
+func TestBrokenMoveIsFound(t *testing.T) {
+	found := false
+	rapid.Check(t, func(t *rapid.T) {
+		found = found || exceeds(t, creditOnly)
+	})
+	if !found {
+		t.Fatal("credit without debit was not found")
+	}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -31,6 +31,11 @@
 	maxTries = 4
 	// retryMargin is kept between a further try and the deadline.
 	retryMargin = 20 * time.Millisecond
+	// tokenStep is the time between two looks for a token, and tokenLooks their number.
+	tokenStep  = 30 * time.Millisecond
+	tokenLooks = 5
+	// maxWaiting bounds the requests that wait for a token.
+	maxWaiting = 64
 	// retrySoon is when a request should come back that another host may serve at once.
 	retrySoon = 50 * time.Millisecond
 )
@@ -51,6 +56,8 @@
 	Targets *selector.Selector
 	// Shares admits customers' requests.
 	Shares *sharer.Sharer
+	// Ask asks the other hosts for tokens of a customer.
+	Ask func(customer string)
 	// Isolator keeps requests that crash targets from running again and again.
 	Isolator *isolator.Isolator
 	// Sender sends requests to targets.
@@ -80,6 +87,7 @@
 	budget   atomic.Pointer[retrier.Retrier]
 	hosts    atomic.Int64
 	inFlight atomic.Int64
+	waiting  atomic.Int64
 	stopping atomic.Bool
 
 	mu     sync.Mutex
@@ -162,7 +170,7 @@
 	if refused, ok := s.read(r, q); !ok {
 		return refused
 	}
-	if refused, ok := s.admit(q); !ok {
+	if refused, ok := s.admit(r.Context(), q); !ok {
 		return refused
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(timer.Now())+timeoutSlack)
@@ -258,7 +266,7 @@
 }
 
 // admit checks the key and spends one token of the customer's rate.
-func (s *Steerer) admit(q *request) (Result, bool) {
+func (s *Steerer) admit(ctx context.Context, q *request) (Result, bool) {
 	if !q.plan.Keyed(q.route) {
 		return s.judge(q)
 	}
@@ -275,13 +283,39 @@
 	if q.customer == nil {
 		return refusal(http.StatusUnauthorized, ReasonKey, 0), false
 	}
-	if s.parts.Shares.Admit(now, q.customer.Name) != sharer.ReasonAdmitted {
+	if !s.spend(ctx, now, q.customer.Name) {
 		return refusal(http.StatusTooManyRequests, ReasonRate,
 			max(s.parts.Shares.Wait(q.customer.Name), retrySoon)), false
 	}
 	return s.judge(q)
 }
 
+// spend spends one token of the customer's rate; a request that finds none waits a little for those
+// that other hosts can spare.
+func (s *Steerer) spend(ctx context.Context, now timer.Instant, customer string) bool {
+	if s.parts.Shares.Admit(now, customer) == sharer.ReasonAdmitted {
+		return true
+	}
+	defer s.waiting.Add(-1)
+	if s.waiting.Add(1) > maxWaiting {
+		return false
+	}
+	s.parts.Ask(customer)
+	ticker := time.NewTicker(tokenStep)
+	defer ticker.Stop()
+	for range tokenLooks {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if s.parts.Shares.AdmitAgain(timer.Now(), customer) == sharer.ReasonAdmitted {
+			return true
+		}
+	}
+	return false
+}
+
 // proved reports whether the known keys, and the number of hosts that share rates, were the newest
 // recently enough to serve keyed requests by them.
 func (s *Steerer) proved(now timer.Instant) bool {
