exchanger: tell a reset from the orderly end of an answer without a length

Ruled out: reading the rest when the engine reports the close: it reports after the descriptor is closed, so the read would take bytes of another connection (tests hung). Change: the exchanger reads connections itself until the end or EAGAIN and keeps how reading ended.

--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -26,6 +26,8 @@
 	closed  bool
 	// keep is how long the server keeps the connection open while idle; 0 is unsaid.
 	keep time.Duration
+	// ended is how the server ended the connection; nil is not yet.
+	ended error
 }
 
 // Exchange sends r and returns its whole answer; when ctx ends first it closes the connection.
@@ -96,15 +98,25 @@
 	return err
 }
 
+// noteEnd remembers how the server ended the connection.
+func (c *Conn) noteEnd(cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	if c.ended == nil {
+		c.ended = cause
+	}
+}
+
 // CloseAndClean implements nbhttp.ParserCloser; the engine calls it when the connection ended.
-func (c *Conn) CloseAndClean(cause error) {
+func (c *Conn) CloseAndClean(error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = true
 	switch {
 	case c.current == nil:
 	case c.current.unframed:
-		c.current.endUnframed(cause)
+		c.current.endUnframed(c.ended)
 	default:
 		c.current.fail(c.lostCause())
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -17,6 +19,9 @@
 	DefaultHeaderBytes = 64 << 10
 )
 
+// readBytes is the size of the buffer that one turn reads into.
+const readBytes = 16 << 10
+
 // Bounds limits the size of an answer.
 type Bounds struct {
 	// BodyBytes bounds the body.
@@ -50,12 +55,41 @@
 		ReadLimit:          b.BodyBytes + b.HeaderBytes,
 		MaxWriteBufferSize: b.BodyBytes + b.HeaderBytes,
 	})
+	e.Engine.OnRead(read)
 	if err := e.Start(); err != nil {
 		return nil, &Error{Op: "start", Kind: KindStart, Err: err}
 	}
 	return &Exchanger{engine: e, bounds: b, closed: make(chan struct{})}, nil
 }
 
+// read takes all that a connection has. The engine would name an orderly end also for a reset that
+// arrives with data, and leave unread what exceeds its turn; how reading ends tells both apart.
+func read(raw *nbio.Conn) {
+	c, ok := raw.Session().(*Conn)
+	if !ok {
+		return
+	}
+	buf := make([]byte, readBytes)
+	for {
+		n, err := raw.Read(buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN):
+			return
+		case err == nil && n == 0:
+			err = io.EOF
+		case err == nil:
+			err = c.Parse(buf[:n])
+		}
+		if err != nil {
+			c.noteEnd(err)
+			_ = raw.CloseWithError(err)
+			return
+		}
+	}
+}
+
 // WithDialer returns the exchanger with another way to open connections.
 func (e *Exchanger) WithDialer(d net.Dialer) *Exchanger {
 	e.dialer = d
