follower, selector: pass proofs between hosts; keep objects at their target

Ruled out: fewer reads by longer terms alone (leaving targets bind within 2.5 s). Change: a heartbeat carries what its host knows of the store, dated by the echo of the receiver's own heartbeat; the first live host reads, the others when its proof fails to come or differs. Shares move slowly while no zone is pressed. A request waits at its object's first target before it goes to another; who came back after a refusal may wait longer.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -19,14 +20,19 @@
 	LiveTerm = 5 * Period
 	// maxDatagramBytes is the largest datagram that is read.
 	maxDatagramBytes = 16 << 10
+	// sentKept is the number of heartbeats whose instants are kept to date the answers of peers.
+	sentKept = 32
+	// hurryPeriod is the shortest time between a heartbeat and one that is sent before its time.
+	hurryPeriod = 100 * time.Millisecond
 )
 
 // Source gives what a heartbeat tells.
 type Source interface {
 	// Beat returns this host's heartbeat without host, incarnation and sequence.
 	Beat(now timer.Instant) *messenger.Beat
-	// Heard is told of each newer heartbeat of a peer.
-	Heard(now timer.Instant, b *messenger.Beat)
+	// Heard is told of each newer heartbeat of a peer; asked is an instant before which the peer
+	// surely sent nothing of it, 0 if there is none.
+	Heard(now, asked timer.Instant, b *messenger.Beat)
 	// Plead is told of a peer's plea for tokens.
 	Plead(now timer.Instant, p *messenger.Plea)
 	// Give is told of tokens that a peer moved here.
@@ -41,8 +47,12 @@
 	source      Source
 	log         *logger.Logger
 	conn        *net.UDPConn
-	sequence    uint64
 	live        map[string]bool
+
+	mu       sync.Mutex
+	sequence uint64
+	sent     [sentKept]timer.Instant
+	beaten   timer.Instant
 }
 
 // Listen opens the address for datagrams.
@@ -110,17 +120,45 @@
 // Beat sends a heartbeat to all peers now.
 func (a *Announcer) Beat(now timer.Instant) {
 	b := a.source.Beat(now)
-	a.sequence++
 	b.Host = a.self.Name
 	b.Incarnation = a.incarnation
-	b.Sequence = a.sequence
-	data, ok := a.encode(&messenger.Datagram{Beat: b})
-	if !ok {
-		return
-	}
+	b.Sequence = a.number(now)
 	for _, p := range a.roster.Peers() {
-		a.send(p.Peer, data)
+		b.Echo = p.Beat.GetSequence()
+		if data, ok := a.encode(&messenger.Datagram{Beat: b}); ok {
+			a.send(p.Peer, data)
+		}
+	}
+}
+
+// Hurry sends a heartbeat before its time, unless the last one was just sent.
+func (a *Announcer) Hurry(now timer.Instant) {
+	a.mu.Lock()
+	recent := now.Sub(a.beaten) < hurryPeriod
+	a.mu.Unlock()
+	if !recent {
+		a.Beat(now)
+	}
+}
+
+// number returns the sequence of a heartbeat that is sent now.
+func (a *Announcer) number(now timer.Instant) uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	a.sent[a.sequence%sentKept] = now
+	a.beaten = now
+	return a.sequence
+}
+
+// asked returns the instant at which the heartbeat that a peer has echoed was sent; 0 is unknown.
+func (a *Announcer) asked(echo uint64) timer.Instant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if echo == 0 || echo > a.sequence || a.sequence-echo >= sentKept {
+		return 0
 	}
+	return a.sent[echo%sentKept]
 }
 
 // Send sends one datagram to a peer.
@@ -160,7 +198,7 @@
 	switch {
 	case d.GetBeat() != nil:
 		if a.roster.hear(now, d.GetBeat()) {
-			a.source.Heard(now, d.GetBeat())
+			a.source.Heard(now, a.asked(d.GetBeat().GetEcho()), d.GetBeat())
 		}
 	case d.GetPlea() != nil:
 		a.source.Plead(now, d.GetPlea())
--- a/conductor/duty.go
+++ b/conductor/duty.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
@@ -96,6 +98,7 @@
 		case t := <-ticks.C():
 			h.selector.SetDemand(h.self.Name, h.selector.Demand(t.At))
 			h.selector.Tick(t.At)
+			h.follower.SetRank(h.rank(t.At))
 			h.follower.Sweep(t.At)
 			h.sender.Sweep(t.At)
 			h.isolator.Tick(t.At)
@@ -108,6 +111,19 @@
 	}
 }
 
+// rank is the number of live hosts that read the store before this one: each lets those before it
+// read, in the order of their names' hashes.
+func (h *Host) rank(now timer.Instant) int {
+	own := xxhash.Sum64String(h.self.Name)
+	rank := 0
+	for _, p := range h.roster.Peers() {
+		if p.Serving(now, announcer.LiveTerm) && xxhash.Sum64String(p.Name) < own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // decideReady makes the host ready once it knows what it needs; it stays ready in an outage of the
 // store, since it still serves what needs no key.
 func (h *Host) decideReady(now timer.Instant) {
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -196,13 +196,13 @@
 	return err
 }
 
-// listedSince returns the instant of the newest list of hosts that held this one; 0 is never.
+// listedSince returns the instant at which the newest list of hosts was proved to hold this one;
+// 0 is never.
 func (h *Host) listedSince() timer.Instant {
-	listed, at := h.roster.Listed()
-	if !listed {
+	if listed, _ := h.roster.Listed(); !listed {
 		return 0
 	}
-	return at
+	return h.follower.HostsProved()
 }
 
 func (h *Host) listen(ctx context.Context) error {
@@ -293,10 +293,10 @@
 	}{
 		{"timer", h.timer},
 		{"callers", h.callers},
-		{"plan", duty(h.follower.FollowPlan)},
-		{"targets", duty(h.follower.FollowTargets)},
-		{"evacuations", duty(h.follower.FollowEvacuations)},
-		{"hosts", duty(h.follower.FollowHosts)},
+		{"plan", h.follow(follower.SubjectPlan)},
+		{"targets", h.follow(follower.SubjectTargets)},
+		{"evacuations", h.follow(follower.SubjectEvacuations)},
+		{"hosts", h.follow(follower.SubjectHosts)},
 		{"datagrams", duty(h.announcer.Receive)},
 		{"heartbeats", duty(h.announce)},
 		{"registration", duty(h.keepRegistered)},
@@ -318,6 +318,10 @@
 	return nil
 }
 
+func (h *Host) follow(s follower.Subject) duty {
+	return func(ctx context.Context) error { return h.follower.Follow(ctx, s) }
+}
+
 // sink puts in force what the follower has read.
 type sink struct {
 	host *Host
@@ -365,6 +369,11 @@
 	}
 }
 
+// Renewed implements follower.Sink.
+func (s sink) Renewed() {
+	s.host.announcer.Hurry(timer.Now())
+}
+
 func (h *Host) hostCount() int {
 	return max(len(h.roster.Members()), 1)
 }
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -2,7 +2,9 @@
 
 import (
 	"sync"
+	"time"
 
+	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
@@ -17,8 +19,12 @@
 func (p peers) Beat(now timer.Instant) *messenger.Beat {
 	h := p.host
 	b := &messenger.Beat{Ready: h.ready.Load(), Leaving: h.leaving.Load()}
-	if plan := h.follower.Plan(); plan != nil {
-		b.Version = plan.Version()
+	for _, m := range h.follower.Marks() {
+		b.Proofs = append(b.Proofs, &messenger.Proof{
+			Subject: uint32(m.Subject),
+			Mark:    m.Hash,
+			Age:     uint32(now.Sub(m.At).Milliseconds()) + 1,
+		})
 	}
 	for name, busy := range h.selector.Demand(now).Busy {
 		if n := uint32(busy * thousand); n > 0 {
@@ -35,8 +41,9 @@
 }
 
 // Heard implements announcer.Source.
-func (p peers) Heard(now timer.Instant, b *messenger.Beat) {
+func (p peers) Heard(now, asked timer.Instant, b *messenger.Beat) {
 	h := p.host
+	p.hearProofs(asked, b)
 	peer, ok := h.roster.Find(b.GetHost())
 	if !ok {
 		return
@@ -51,6 +58,21 @@
 	}
 }
 
+// hearProofs takes what the peer knows of the store: its reads began at the latest their age before
+// the instant at which this host sent what the peer has echoed.
+func (p peers) hearProofs(asked timer.Instant, b *messenger.Beat) {
+	if asked == 0 {
+		return
+	}
+	for _, proof := range b.GetProofs() {
+		p.host.follower.Hear(follower.Mark{
+			Subject: follower.Subject(proof.GetSubject()),
+			Hash:    proof.GetMark(),
+			At:      asked.Add(-time.Duration(proof.GetAge()) * time.Millisecond),
+		})
+	}
+}
+
 // Plead implements announcer.Source: it debits what the host can spare before it is sent.
 func (p peers) Plead(now timer.Instant, plea *messenger.Plea) {
 	h := p.host
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,47 +18,39 @@
 )
 
 const (
-	// planPeriod is the time between two reads of the plan; each read also proves that the known
-	// keys are the newest.
-	planPeriod = 900 * time.Millisecond
 	// watchTerm is the longest time that a watch waits: a watch that hears nothing proves little.
 	watchTerm = 1200 * time.Millisecond
-	// hostsPeriod is the time between two reads of the registered hosts.
-	hostsPeriod = 2 * time.Second
+	// glanceTerm is how long a watch waits for changes that are there already.
+	glanceTerm = 5 * time.Millisecond
 	// firstBackoff and longestBackoff bound the pause after a failed call.
 	firstBackoff   = 150 * time.Millisecond
 	longestBackoff = 800 * time.Millisecond
 	// lapseTerm is how long entries that are missing after an outage are kept: their targets need
 	// that long to register again.
 	lapseTerm = 2 * time.Second
-	// outageTerm is how long the list of targets must have been unreadable for an outage: shorter
-	// ones make no entry lapse.
-	outageTerm = time.Second
+	// outageTerm is how old the newest proof of the targets must be for an outage: shorter ones
+	// make no entry lapse.
+	outageTerm = 2500 * time.Millisecond
 )
 
 // Follower follows the store.
 type Follower struct {
-	store Store
-	sink  Sink
-	log   *logger.Logger
+	store    Store
+	sink     Sink
+	log      *logger.Logger
+	plan     atomic.Pointer[planner.Plan]
+	subjects [subjectCount]*subject
 
-	plan    atomic.Pointer[planner.Plan]
-	proved  atomic.Int64
-	planned atomic.Bool
-	listed  atomic.Bool
-	emptied atomic.Bool
-	joined  atomic.Bool
-
-	mu      sync.Mutex
-	entries map[string]selector.Target
-	lapsing map[string]timer.Instant
-	bad     map[string]bool
-	readAt  timer.Instant
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]selector.Target
+	lapsing  map[string]timer.Instant
+	bad      map[string]bool
 }
 
 // New returns a follower that knows nothing.
 func New(store Store, sink Sink, l *logger.Logger) *Follower {
-	return &Follower{
+	f := &Follower{
 		store:   store,
 		sink:    sink,
 		log:     l,
@@ -64,6 +58,10 @@
 		lapsing: map[string]timer.Instant{},
 		bad:     map[string]bool{},
 	}
+	for i := range f.subjects {
+		f.subjects[i] = newSubject()
+	}
+	return f
 }
 
 // Plan returns the plan in force, or nil before the first one.
@@ -73,60 +71,108 @@
 
 // Proved returns the instant at which the plan in force was the newest one for certain; 0 is never.
 func (f *Follower) Proved() timer.Instant {
-	return timer.Instant(f.proved.Load())
+	_, at := f.subjects[SubjectPlan].proof()
+	return at
+}
+
+// HostsProved returns the instant at which the known list of hosts was the newest one for certain;
+// 0 is never.
+func (f *Follower) HostsProved() timer.Instant {
+	_, at := f.subjects[SubjectHosts].proof()
+	return at
 }
 
-// Known reports whether plan, targets, evacuations and hosts were each read at least once.
+// Known reports whether every subject was read at least once.
 func (f *Follower) Known() bool {
-	return f.planned.Load() && f.listed.Load() && f.emptied.Load() && f.joined.Load()
+	for _, s := range f.subjects {
+		if _, at := s.proof(); at == 0 {
+			return false
+		}
+	}
+	return true
 }
 
-// FollowPlan reads the plan each period until ctx ends.
-func (f *Follower) FollowPlan(ctx context.Context) error {
-	return f.repeat(ctx, "plan", planPeriod, f.readPlan)
+// Marks returns what is known of each subject, for the peers.
+func (f *Follower) Marks() []Mark {
+	var marks []Mark
+	for i, s := range f.subjects {
+		if hash, at := s.proof(); at != 0 {
+			marks = append(marks, Mark{Subject: Subject(i), Hash: hash, At: at})
+		}
+	}
+	return marks
 }
 
-// FollowHosts reads the registered hosts each period until ctx ends.
-func (f *Follower) FollowHosts(ctx context.Context) error {
-	return f.repeat(ctx, "hosts", hostsPeriod, f.readHosts)
+// Hear takes a peer's mark, dated by this host's clock at the latest when its read began: the same
+// content renews the proof, a newer one of other content has the subject read.
+func (f *Follower) Hear(m Mark) {
+	if m.Subject < subjectCount {
+		f.subjects[m.Subject].hear(m)
+	}
 }
 
-// FollowTargets lists the targets and watches them until ctx ends.
-func (f *Follower) FollowTargets(ctx context.Context) error {
-	revision := uint64(0)
-	return f.repeat(ctx, "targets", 0, func(ctx context.Context) error {
-		var err error
-		if revision == 0 {
-			revision, err = f.listTargets(ctx)
-			return err
-		}
-		revision, err = f.watchTargets(ctx, revision)
-		return err
-	})
+// SetRank tells how many live hosts read before this one.
+func (f *Follower) SetRank(rank int) {
+	for _, s := range f.subjects {
+		s.setRank(rank)
+	}
 }
 
-// FollowEvacuations lists the evacuations and watches them until ctx ends.
-func (f *Follower) FollowEvacuations(ctx context.Context) error {
-	revision := uint64(0)
-	return f.repeat(ctx, "evacuations", 0, func(ctx context.Context) error {
-		if revision == 0 {
-			zones, at, err := f.store.Evacuations(ctx)
-			if err != nil {
-				return err
-			}
-			f.sink.UseEvacuations(zones)
-			f.emptied.Store(true)
-			revision = at
+// Follow reads one subject when its proof has grown old or a peer knows a newer one, until ctx
+// ends.
+func (f *Follower) Follow(ctx context.Context, which Subject) error {
+	s := f.subjects[which]
+	failures := 0
+	for {
+		if !s.await(ctx) {
 			return nil
 		}
-		changed, at, err := f.store.WatchEvacuations(ctx, revision, watchTerm)
-		if err != nil || changed {
-			revision = 0
-			return err
+		err := f.read(ctx, which)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, ErrHistory):
+			f.log.Log(eventHistoryGone, logger.F("reads", which.String()))
+			continue
+		case err == nil && failures > 0:
+			f.log.Log(eventStoreRegained,
+				logger.F("reads", which.String()), logger.F("failures", failures))
+			failures = 0
+		case err != nil:
+			failures++
+			if failures == 1 {
+				f.log.Log(eventStoreLost,
+					logger.F("reads", which.String()), logger.F("cause", err.Error()))
+			}
+			if !pause(ctx, backoff(failures)) {
+				return nil
+			}
 		}
-		revision = at
-		return nil
-	})
+	}
+}
+
+func (f *Follower) read(ctx context.Context, which Subject) error {
+	started := timer.Now()
+	var hash uint64
+	var err error
+	switch which {
+	case SubjectPlan:
+		hash, err = f.readPlan(ctx, started)
+	case SubjectTargets:
+		hash, err = f.readTargets(ctx)
+	case SubjectEvacuations:
+		hash, err = f.readEvacuations(ctx)
+	case SubjectHosts:
+		hash, err = f.readHosts(ctx, started)
+	}
+	if err != nil {
+		return err
+	}
+	s := f.subjects[which]
+	if changed := s.prove(hash, started); changed || s.first() && which == SubjectPlan {
+		f.sink.Renewed()
+	}
+	return nil
 }
 
 // Sweep drops the entries whose time to return has passed.
@@ -148,11 +194,10 @@
 	}
 }
 
-func (f *Follower) readPlan(ctx context.Context) error {
-	started := timer.Now()
+func (f *Follower) readPlan(ctx context.Context, started timer.Instant) (uint64, error) {
 	p, err := f.store.Plan(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	current := f.plan.Load()
 	if current == nil || p.Version() > current.Version() {
@@ -161,20 +206,56 @@
 		f.log.Log(eventPlanInForce, logger.F("version", p.Version()),
 			logger.F("read_ms", timer.Now().Sub(started).Milliseconds()))
 	}
-	f.proved.Store(int64(started))
-	f.planned.Store(true)
-	return nil
+	return f.plan.Load().Version(), nil
 }
 
-func (f *Follower) readHosts(ctx context.Context) error {
-	started := timer.Now()
+func (f *Follower) readEvacuations(ctx context.Context) (uint64, error) {
+	zones, err := f.store.Evacuations(ctx)
+	if err != nil {
+		return 0, err
+	}
+	sort.Strings(zones)
+	hash := hashOf(zones...)
+	if known, at := f.subjects[SubjectEvacuations].proof(); at == 0 || known != hash {
+		f.sink.UseEvacuations(zones)
+	}
+	return hash, nil
+}
+
+func (f *Follower) readHosts(ctx context.Context, started timer.Instant) (uint64, error) {
 	members, err := f.store.Hosts(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	f.sink.UseHosts(started, members)
-	f.joined.Store(true)
-	return nil
+	parts := make([]string, 0, len(members))
+	for _, m := range members {
+		parts = append(parts, m.Name+m.Callers+m.Peer)
+	}
+	sort.Strings(parts)
+	return hashOf(parts...), nil
+}
+
+// readTargets lists the targets, or takes what has changed since; the first host to read waits for
+// changes.
+func (f *Follower) readTargets(ctx context.Context) (uint64, error) {
+	f.mu.Lock()
+	revision := f.revision
+	f.revision = 0
+	f.mu.Unlock()
+	var err error
+	if revision == 0 {
+		revision, err = f.listTargets(ctx)
+	} else {
+		revision, err = f.watchTargets(ctx, revision)
+	}
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.revision = revision
+	return f.entriesHash(), nil
 }
 
 func (f *Follower) listTargets(ctx context.Context) (uint64, error) {
@@ -184,16 +265,43 @@
 	}
 	f.merge(timer.Now(), list)
 	f.publish()
-	f.listed.Store(true)
 	return list.Revision, nil
 }
 
+func (f *Follower) watchTargets(ctx context.Context, revision uint64) (uint64, error) {
+	wait := glanceTerm
+	if f.subjects[SubjectTargets].first() {
+		wait = watchTerm
+	}
+	c, err := f.store.WatchTargets(ctx, revision, wait)
+	if err != nil {
+		return 0, err
+	}
+	f.apply(c)
+	if len(c.Changed) > 0 {
+		f.publish()
+	}
+	return c.Revision, nil
+}
+
+// entriesHash covers what decides on the use of targets.
+func (f *Follower) entriesHash() uint64 {
+	parts := make([]string, 0, len(f.entries))
+	for name, t := range f.entries {
+		if _, lapses := f.lapsing[name]; !lapses {
+			parts = append(parts, fmt.Sprint(name, t.Address, t.Draining, t.Born, t.ColdLeft > 0))
+		}
+	}
+	sort.Strings(parts)
+	return hashOf(parts...)
+}
+
 // merge takes a whole list; entries that it lacks after an outage are kept for a while.
 func (f *Follower) merge(now timer.Instant, list Targets) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	outage := f.readAt != 0 && now.Sub(f.readAt) > watchTerm+outageTerm
-	f.readAt = now
+	_, proved := f.subjects[SubjectTargets].proof()
+	outage := proved != 0 && now.Sub(proved) > outageTerm
 	for _, u := range list.Unreadable {
 		f.noteBad(u.Name, u.Err)
 	}
@@ -218,22 +326,9 @@
 	}
 }
 
-func (f *Follower) watchTargets(ctx context.Context, revision uint64) (uint64, error) {
-	c, err := f.store.WatchTargets(ctx, revision, watchTerm)
-	if err != nil {
-		return 0, err
-	}
-	f.apply(timer.Now(), c)
-	if len(c.Changed) > 0 {
-		f.publish()
-	}
-	return c.Revision, nil
-}
-
-func (f *Follower) apply(now timer.Instant, c Changes) {
+func (f *Follower) apply(c Changes) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readAt = now
 	for _, change := range c.Changed {
 		delete(f.lapsing, change.Name)
 		if !change.Gone {
@@ -285,38 +380,6 @@
 	}
 }
 
-// repeat runs step until ctx ends, with a pause after each success and a growing one after each
-// failure.
-func (f *Follower) repeat(
-	ctx context.Context, what string, period time.Duration, step func(context.Context) error,
-) error {
-	failures := 0
-	for {
-		err := step(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if errors.Is(err, ErrHistory) {
-			f.log.Log(eventHistoryGone, logger.F("reads", what))
-			continue
-		}
-		wait := period
-		if err != nil {
-			failures++
-			wait = backoff(failures)
-			if failures == 1 {
-				f.log.Log(eventStoreLost, logger.F("reads", what), logger.F("cause", err.Error()))
-			}
-		} else if failures > 0 {
-			f.log.Log(eventStoreRegained, logger.F("reads", what), logger.F("failures", failures))
-			failures = 0
-		}
-		if !pause(ctx, wait) {
-			return nil
-		}
-	}
-}
-
 // backoff doubles with each failure and is spread, so that hosts don't call together.
 func backoff(failures int) time.Duration {
 	d := firstBackoff << min(failures-1, 4)
--- a/follower/source.go
+++ b/follower/source.go
@@ -62,9 +62,7 @@
 	// WatchTargets waits for changes of entries after a revision.
 	WatchTargets(ctx context.Context, revision uint64, wait time.Duration) (Changes, error)
 	// Evacuations lists the evacuated availability zones.
-	Evacuations(ctx context.Context) ([]string, uint64, error)
-	// WatchEvacuations waits for a change after a revision and reports whether there was one.
-	WatchEvacuations(ctx context.Context, revision uint64, wait time.Duration) (bool, uint64, error)
+	Evacuations(ctx context.Context) ([]string, error)
 	// Hosts lists the registered hosts.
 	Hosts(ctx context.Context) ([]announcer.Member, error)
 }
@@ -79,4 +77,6 @@
 	UseEvacuations(zones []string)
 	// UseHosts takes the registered hosts; the read of their list began at the instant.
 	UseHosts(at timer.Instant, members []announcer.Member)
+	// Renewed is told when peers should hear at once of what was read.
+	Renewed()
 }
--- /dev/null
+++ b/follower/subject.go
@@ -0,0 +1,165 @@
+package follower
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuethread/fescuethread/timer"
+)
+
+// Subject is one thing that is read from the store.
+type Subject uint8
+
+const (
+	// SubjectPlan is the operators' configuration.
+	SubjectPlan Subject = iota
+	// SubjectTargets are the entries of targets.
+	SubjectTargets
+	// SubjectEvacuations are the evacuated availability zones.
+	SubjectEvacuations
+	// SubjectHosts are the registered hosts.
+	SubjectHosts
+
+	subjectCount
+)
+
+// String names the subject for logs.
+func (s Subject) String() string {
+	switch s {
+	case SubjectPlan:
+		return "plan"
+	case SubjectTargets:
+		return "targets"
+	case SubjectEvacuations:
+		return "evacuations"
+	case SubjectHosts:
+		return "hosts"
+	}
+	return "unknown"
+}
+
+const (
+	// proofTerm is the age of its proof at which the first host reads a subject again.
+	proofTerm = 700 * time.Millisecond
+	// relayTerm is the age at which the second host reads: a proof that was passed on is as old as
+	// the first host's term, two heartbeats and the way between the hosts.
+	relayTerm = 1400 * time.Millisecond
+	// rankStep is how much longer each further host waits.
+	rankStep = 150 * time.Millisecond
+	// lastRank is the rank from which hosts wait no longer still: by then all who should have read
+	// have failed.
+	lastRank = 4
+)
+
+// Mark says that a subject had a content when a read of it began.
+type Mark struct {
+	// Subject is what was read.
+	Subject Subject
+	// Hash stands for the content.
+	Hash uint64
+	// At is the instant at which the read began, or an earlier one.
+	At timer.Instant
+}
+
+// subject is what is known of one subject.
+type subject struct {
+	mu   sync.Mutex
+	rank int
+	hash uint64
+	at   timer.Instant
+	wake chan struct{}
+}
+
+func newSubject() *subject {
+	return &subject{rank: lastRank, wake: make(chan struct{}, 1)}
+}
+
+func (s *subject) proof() (uint64, timer.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hash, s.at
+}
+
+func (s *subject) setRank(rank int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rank = min(rank, lastRank)
+}
+
+// first reports whether this host reads before all others.
+func (s *subject) first() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rank == 0
+}
+
+// prove takes the result of a read and reports whether the content has changed.
+func (s *subject) prove(hash uint64, at timer.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed := s.at != 0 && s.hash != hash
+	s.hash = hash
+	s.at = max(s.at, at)
+	return changed
+}
+
+func (s *subject) hear(m Mark) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.at == 0 || m.At <= s.at:
+	case m.Hash == s.hash:
+		s.at = m.At
+	default:
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// due returns how long the proof still lasts.
+func (s *subject) due(now timer.Instant) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.at == 0 {
+		return 0
+	}
+	term := proofTerm
+	if s.rank > 0 {
+		term = relayTerm + time.Duration(s.rank-1)*rankStep
+	}
+	return s.at.Add(term).Sub(now)
+}
+
+// await returns once the subject is to be read, or false when ctx ends.
+func (s *subject) await(ctx context.Context) bool {
+	for {
+		wait := s.due(timer.Now())
+		if wait <= 0 {
+			return ctx.Err() == nil
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return false
+		case <-s.wake:
+			t.Stop()
+			return true
+		case <-t.C:
+		}
+	}
+}
+
+func hashOf(parts ...string) uint64 {
+	d := xxhash.New()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.WriteString("\x00")
+	}
+	return d.Sum64()
+}
--- a/selector/search.go
+++ b/selector/search.go
@@ -20,18 +20,24 @@
 	coldSafety = 0.85
 	// coldCost is how much longer a target takes for an object that it did not serve lately.
 	coldCost = 3.0
+	// spareFill is the part of its slots that a target may have in use when it takes an object that
+	// is not its own.
+	spareFill = 0.7
 	// firstRank is the last rank that may use the whole objective.
 	firstRank = 1
 	// urgentPart and otherPart are the parts of the objective that an answer is expected within.
-	urgentPart = 1.0
-	otherPart  = 0.8
+	urgentPart = 0.9
+	otherPart  = 0.7
+	// returnedPart is the part of the objective by which a request that came back after a refusal
+	// may wait longer.
+	returnedPart = 0.5
 	// queuePart bounds the requests at a target, as a multiple of its slots.
 	queuePart = 2.5
 	// patience is the part of the remaining time that an answer may take without an objective.
 	patience = 0.5
 	// retryFirst and retrySpread are when a refused request should come back.
-	retryFirst  = 250 * time.Millisecond
-	retrySpread = 250 * time.Millisecond
+	retryFirst  = 100 * time.Millisecond
+	retrySpread = 150 * time.Millisecond
 )
 
 // Rule says how a target was found.
@@ -77,6 +83,9 @@
 	if q.Rank <= firstRank {
 		part = urgentPart
 	}
+	if q.Returned {
+		part += returnedPart
+	}
 	x.limit = time.Duration(float64(q.Objective) * part)
 	if q.Objective <= 0 {
 		x.limit = time.Duration(float64(q.Left) * patience)
@@ -213,28 +222,25 @@
 	if c, ok := x.ofObject(first, second); ok {
 		return c, true
 	}
-	if t := x.least(zones); t != nil && x.fits(t, coldCost) {
+	if t := x.least(zones); t != nil && x.fill(t) < spareFill && x.fits(t, coldCost) {
 		return x.choose(t, RuleLeast), true
 	}
 	return x.refuse(ReasonFull), true
 }
 
-// ofObject takes the object's own targets: at once where a slot is free, else the one with the
-// shorter queue, as long as the answer is expected in time.
+// ofObject takes the object's first target also where the request waits a little, and the second
+// one only where the first would answer too late: each further target that serves an object has to
+// learn it, and forgets another.
 func (x *search) ofObject(first, second *target) (Choice, bool) {
-	if x.free(first) {
+	switch {
+	case x.free(first):
 		return x.choose(first, RuleFirst), true
-	}
-	if x.free(second) {
+	case x.mayQueue(first) && x.fits(first, 1):
+		return x.choose(first, RuleQueue), true
+	case x.free(second):
 		return x.choose(second, RuleSecond), true
-	}
-	shorter := first
-	if second != nil && x.mayQueue(second) &&
-		(!x.mayQueue(first) || x.expected(second, 1) < x.expected(first, 1)) {
-		shorter = second
-	}
-	if x.mayQueue(shorter) && x.fits(shorter, 1) {
-		return x.choose(shorter, RuleQueue), true
+	case x.mayQueue(second) && x.fits(second, 1):
+		return x.choose(second, RuleQueue), true
 	}
 	return Choice{}, false
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -55,6 +55,8 @@
 	Left time.Duration
 	// Rank is the request's priority; 0 is the most urgent.
 	Rank int
+	// Returned says that the caller has come back after a refusal.
+	Returned bool
 	// Avoid lists the targets that were tried.
 	Avoid []string
 	// Alone asks for a target without other requests of this host.
--- a/selector/spread.go
+++ b/selector/spread.go
@@ -17,11 +17,18 @@
 	shiftPart = 0.65
 	// zoneStep is the part of the way to the aim that one tick may go.
 	zoneStep = 0.3
+	// homeStep is that part while no zone is pressed: each object that moves is served once by a
+	// target that did not serve it lately.
+	homeStep = 0.01
+	// pressedFill is the part of a zone's slots that are in use from which on it counts as pressed,
+	// and pressedShare the least share of a zone that is looked at.
+	pressedFill  = 0.8
+	pressedShare = 0.03
 	// demandAge is the age from which a host's demand counts for nothing.
 	demandAge = 5 * time.Second
 	// leastFill is the part of an availability zone's slots that its own callers may use before
 	// others are asked.
-	leastFill = 0.55
+	leastFill = 0.7
 	// fillMargin is how much fuller than on average a zone may be.
 	fillMargin = 1.1
 	// coldPart is the part of a cold target's slots that counts as room.
@@ -41,7 +48,10 @@
 		v.shares = aim
 		return
 	}
-	step := zoneStep
+	step := homeStep
+	if s.pressed(now, v) {
+		step = zoneStep
+	}
 	if shift := s.regionShift(v.shares, aim); s.cfg.ShiftMax > 0 && shift > 0 {
 		most := s.cfg.ShiftMax * shiftPart * TickPeriod.Seconds() / ShiftWindow.Seconds()
 		step = min(step, most/shift)
@@ -51,6 +61,27 @@
 	}
 }
 
+// pressed reports whether a zone that this host sends requests to has hardly a free slot, or none
+// that can be used.
+func (s *Selector) pressed(now timer.Instant, v *service) bool {
+	for zone, share := range v.shares {
+		if share < pressedShare {
+			continue
+		}
+		used, slots := 0.0, 0.0
+		for _, t := range v.zones[zone] {
+			if t.sound(now) && !s.evacuated[zone] {
+				used += t.load(now)
+				slots += float64(t.Slots)
+			}
+		}
+		if used >= pressedFill*slots {
+			return true
+		}
+	}
+	return false
+}
+
 // regionShift is the part of the requests that would change their region.
 func (s *Selector) regionShift(from, to map[string]float64) float64 {
 	change := map[string]float64{}
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -50,6 +50,7 @@
 		Objective: q.route.Objective,
 		Left:      q.deadline.Sub(timer.Now()),
 		Rank:      planner.Priority(q.route, q.customer),
+		Returned:  q.returned,
 		Avoid:     q.avoided,
 		Alone:     q.permit.Verdict == isolator.VerdictAlone,
 	}
@@ -87,6 +88,7 @@
 		logger.F("rule", string(c.Rule)), logger.F("load", round(c.Load)),
 		logger.F("expected_ms", c.Expected.Milliseconds()),
 		logger.F("left_ms", q.deadline.Sub(now).Milliseconds()),
+		logger.F("returned", q.returned),
 		logger.F("plan", q.plan.Version()), logger.F("try", q.tries))
 	try := s.parts.Sender.send(ctx, q, c.Target)
 	ended := timer.Now()
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -36,6 +36,8 @@
 	tokenLooks = 5
 	// maxWaiting bounds the requests that wait for a token.
 	maxWaiting = 64
+	// freshPercent is the part of a route's longest deadline below which a request came back.
+	freshPercent = 99
 	// retrySoon is when a request should come back that another host may serve at once.
 	retrySoon = 50 * time.Millisecond
 )
@@ -90,13 +92,19 @@
 	waiting  atomic.Int64
 	stopping atomic.Bool
 
-	mu     sync.Mutex
-	splits map[string]*rotation
+	mu        sync.Mutex
+	splits    map[string]*rotation
+	deadlines map[string]time.Duration
 }
 
 // New returns a steerer.
 func New(cfg Config, p Parts) *Steerer {
-	s := &Steerer{cfg: cfg, parts: p, splits: map[string]*rotation{}}
+	s := &Steerer{
+		cfg:       cfg,
+		parts:     p,
+		splits:    map[string]*rotation{},
+		deadlines: map[string]time.Duration{},
+	}
 	s.SetHosts(1)
 	return s
 }
@@ -151,6 +159,8 @@
 	body     []byte
 	// deadline is the instant at which the caller gives up or the route's timeout is reached.
 	deadline timer.Instant
+	// returned says that the caller has come back after a refusal or failure.
+	returned bool
 	permit   *isolator.Permit
 	tries    int
 	// ran counts the targets that may have run the request.
@@ -195,7 +205,7 @@
 	if q.route == nil {
 		return refusal(http.StatusNotFound, ReasonRoute, 0), false
 	}
-	timeout, ok := s.timeout(r, q.route)
+	timeout, ok := s.timeout(r, q, q.route)
 	if !ok {
 		return refusal(http.StatusBadRequest, ReasonMalformed, 0), false
 	}
@@ -230,7 +240,22 @@
 	return host
 }
 
-func (s *Steerer) timeout(r *http.Request, route *planner.Route) (time.Duration, bool) {
+// cameBack reports whether a caller has waited before: its callers' requests on the route have more
+// time left otherwise.
+func (s *Steerer) cameBack(route string, wait time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest := s.deadlines[route]
+	if wait >= longest {
+		s.deadlines[route] = wait
+		return false
+	}
+	return wait < longest*freshPercent/100
+}
+
+func (s *Steerer) timeout(
+	r *http.Request, q *request, route *planner.Route,
+) (time.Duration, bool) {
 	longest := defaultTimeout
 	if route.Timeout > 0 {
 		longest = route.Timeout
@@ -244,6 +269,7 @@
 		return 0, false
 	}
 	wait := time.Duration(ms * float64(time.Millisecond))
+	q.returned = s.cameBack(route.Name, wait)
 	if route.Timeout > 0 {
 		return min(wait, route.Timeout), true
 	}
