selector: ignore failures when most targets of a service fail

Ruled out: lack of room (one request in two would have been served). Change: while more than four in ten of a service's targets fail, failures don't count; a search without a sound zone looks at the doubted targets.

--- a/selector/search.go
+++ b/selector/search.go
@@ -98,7 +98,7 @@
 func (x *search) run() Choice {
 	first := x.firstZone()
 	if first == "" {
-		return x.refuse(ReasonNoTarget)
+		return x.searchDoubted()
 	}
 	for _, region := range x.regions(first) {
 		zones := x.zones(region, first)
@@ -297,7 +297,7 @@
 	}
 	for _, zone := range zones {
 		for _, t := range x.v.zones[zone] {
-			if t.usable(x.now) && t.fails > failHigh && !t.silent(x.now) &&
+			if t.usable(x.now) && t.failing() && !t.silent(x.now) &&
 				x.now.Sub(t.probed) >= probePeriod && x.admits(t) && x.freeSlot(t) {
 				return x.choose(t, RuleProbe), true
 			}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -255,6 +255,7 @@
 	defer s.mu.Unlock()
 	for name, v := range s.services {
 		v.gauge.tick(now)
+		v.pardon(now)
 		s.spread(now, name, v)
 	}
 }
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -229,3 +229,32 @@
 		t.Fatalf("%d requests at a target with 4 slots", chosen)
 	}
 }
+
+// TestFailuresOfMostTargetsAreIgnored: when all targets shed, leaving them out serves nobody (all
+// of a service's targets shed half of their requests on scale-1 of kfb-clipnet).
+func TestFailuresOfMostTargetsAreIgnored(t *testing.T) {
+	s := newSelector("h", "a1")
+	s.SetTargets(start, targetsOf(2, "a1", "a2", "b1", "b2"))
+	now := start
+	refused := 0
+	for i := range 400 {
+		now = now.Add(20 * time.Millisecond)
+		if i%12 == 0 {
+			s.Tick(now)
+		}
+		q := query(fmt.Sprint("object", i%20))
+		c := s.Choose(now, q)
+		if !c.Chosen() {
+			refused++
+			continue
+		}
+		r := Result{Outcome: OutcomeAnswered, Took: 10 * time.Millisecond}
+		if i%2 == 0 {
+			r = Result{Outcome: OutcomeShed, Report: &Load{Running: 1, Slots: 4}}
+		}
+		s.End(now, &c, q, r)
+	}
+	if refused > 0 {
+		t.Fatalf("%d of 400 requests were refused", refused)
+	}
+}
--- a/selector/spread.go
+++ b/selector/spread.go
@@ -24,6 +24,8 @@
 	// and pressedShare the least share of a zone that is looked at.
 	pressedFill  = 0.8
 	pressedShare = 0.03
+	// pardonPart is the part of a service's targets that must fail for failures to be ignored.
+	pardonPart = 0.4
 	// demandAge is the age from which a host's demand counts for nothing.
 	demandAge = 5 * time.Second
 	// leastFill is the part of an availability zone's slots that its own callers may use before
@@ -82,6 +84,29 @@
 	return false
 }
 
+// pardon ignores failures while most of the service's targets fail: then leaving them out helps
+// nobody.
+func (v *service) pardon(now timer.Instant) {
+	failing, all := 0, 0
+	for _, list := range v.zones {
+		for _, t := range list {
+			if !t.usable(now) {
+				continue
+			}
+			all++
+			if t.fails > failHigh {
+				failing++
+			}
+		}
+	}
+	pardoned := float64(failing) > pardonPart*float64(all)
+	for _, list := range v.zones {
+		for _, t := range list {
+			t.pardoned = pardoned
+		}
+	}
+}
+
 // regionShift is the part of the requests that would change their region.
 func (s *Selector) regionShift(from, to map[string]float64) float64 {
 	change := map[string]float64{}
--- a/selector/target.go
+++ b/selector/target.go
@@ -104,6 +104,8 @@
 	usual    time.Duration
 	slowness float64
 	foreign  bool
+	// pardoned says that failures don't speak against the target, since most others fail alike.
+	pardoned bool
 }
 
 func newTarget(t Target) *target {
@@ -134,7 +136,12 @@
 
 // sound reports whether nothing speaks against the target.
 func (t *target) sound(now timer.Instant) bool {
-	return t.usable(now) && t.fails <= failHigh && !t.silent(now)
+	return t.usable(now) && !t.failing() && !t.silent(now)
+}
+
+// failing reports whether the target fails so often that it is only probed.
+func (t *target) failing() bool {
+	return t.fails > failHigh && !t.pardoned
 }
 
 // silent reports whether the target has had requests for long and answered none.
@@ -160,7 +167,7 @@
 	if t.cold(now) {
 		t.coldSent = append(t.coldSent, now)
 	}
-	if t.fails > failHigh {
+	if t.failing() {
 		t.probed = now
 	}
 }
