selector: bound a request's wait at a target, not the time of its answer

Change: urgent kinds wait up to half of their objective, others a fifth; the wait is reckoned from the service's usual time.

--- a/selector/search.go
+++ b/selector/search.go
@@ -25,16 +25,16 @@
 	spareFill = 0.7
 	// firstRank is the last rank that may use the whole objective.
 	firstRank = 1
-	// urgentPart and otherPart are the parts of the objective that an answer is expected within.
-	urgentPart = 0.9
-	otherPart  = 0.7
-	// returnedPart is the part of the objective by which a request that came back after a refusal
-	// may wait longer.
-	returnedPart = 0.5
+	// urgentPart and otherPart are the parts of the objective for which a request may wait at a
+	// target.
+	urgentPart = 0.5
+	otherPart  = 0.2
+	// returnedPart is the part by which a request that came back after a refusal may wait longer.
+	returnedPart = 0.2
 	// queuePart bounds the requests at a target, as a multiple of its slots.
 	queuePart = 2.5
-	// patience is the part of the remaining time that an answer may take without an objective.
-	patience = 0.5
+	// patience is the part of the remaining time for which a request without an objective may wait.
+	patience = 0.2
 	// retryFirst and retrySpread are when a refused request should come back.
 	retryFirst  = 100 * time.Millisecond
 	retrySpread = 150 * time.Millisecond
@@ -65,8 +65,12 @@
 	q      Query
 	v      *service
 	object uint64
-	base   time.Duration
-	limit  time.Duration
+	// base is the usual time of the route's answers.
+	base time.Duration
+	// work is the usual time of the service's answers, of whatever route.
+	work time.Duration
+	// limit is how long the request may wait at a target.
+	limit time.Duration
 }
 
 func (s *Selector) newSearch(now timer.Instant, q Query, v *service) *search {
@@ -90,6 +94,10 @@
 	if q.Objective <= 0 {
 		x.limit = time.Duration(float64(q.Left) * patience)
 	}
+	x.work = v.gauge.took
+	if x.work == 0 {
+		x.work = firstTook
+	}
 	return x
 }
 
@@ -222,7 +230,7 @@
 	if c, ok := x.ofObject(first, second); ok {
 		return c, true
 	}
-	if t := x.least(zones); t != nil && x.fill(t) < spareFill && x.fits(t, coldCost) {
+	if t := x.least(zones); t != nil && x.fill(t) < spareFill && x.fits(t) {
 		return x.choose(t, RuleLeast), true
 	}
 	return x.refuse(ReasonFull), true
@@ -235,11 +243,11 @@
 	switch {
 	case x.free(first):
 		return x.choose(first, RuleFirst), true
-	case x.mayQueue(first) && x.fits(first, 1):
+	case x.mayQueue(first) && x.fits(first):
 		return x.choose(first, RuleQueue), true
 	case x.free(second):
 		return x.choose(second, RuleSecond), true
-	case x.mayQueue(second) && x.fits(second, 1):
+	case x.mayQueue(second) && x.fits(second):
 		return x.choose(second, RuleQueue), true
 	}
 	return Choice{}, false
@@ -337,30 +345,30 @@
 	return t.load(x.now) < float64(t.Slots)
 }
 
-// free reports whether the target is expected to start the request at once and in time.
+// free reports whether the target is expected to run the request at once and in time.
 func (x *search) free(t *target) bool {
-	return t != nil && x.admits(t) && x.freeSlot(t) && x.fits(t, 1)
+	return t != nil && x.admits(t) && x.freeSlot(t) && x.fits(t)
 }
 
 func (x *search) mayQueue(t *target) bool {
 	return t != nil && x.admits(t) && t.load(x.now) < queuePart*float64(t.Slots)
 }
 
-// expected estimates the time until the answer, with work that takes factor times the usual.
-func (x *search) expected(t *target, factor float64) time.Duration {
+// wait estimates the time until the target begins to run the request.
+func (x *search) wait(t *target) time.Duration {
 	slots := float64(t.Slots)
 	waiting := max(t.load(x.now)+1-slots, 0)
-	work := float64(x.base) * max(t.slowness, 1)
-	return time.Duration(work*factor + work*waiting/slots)
+	return time.Duration(float64(x.work) * max(t.slowness, 1) * waiting / slots)
 }
 
-func (x *search) fits(t *target, factor float64) bool {
-	e := x.expected(t, factor)
-	// A target with a free slot does as well as any: the usual time may exceed the limit.
-	if factor == 1 && x.freeSlot(t) {
-		return e < x.q.Left
-	}
-	return e <= x.limit && e < x.q.Left || x.freeSlot(t) && e < x.q.Left
+// expected estimates the time until the answer.
+func (x *search) expected(t *target) time.Duration {
+	return x.wait(t) + time.Duration(float64(x.base)*max(t.slowness, 1))
+}
+
+// fits reports whether the request may wait at the target and has time for the answer.
+func (x *search) fits(t *target) bool {
+	return x.wait(t) <= x.limit && x.expected(t) < x.q.Left
 }
 
 // admits reports whether a cold target may get one more request of this host now.
@@ -405,7 +413,7 @@
 		Target:   t.Target,
 		Rule:     rule,
 		Load:     t.load(x.now),
-		Expected: x.expected(t, 1),
+		Expected: x.expected(t),
 		target:   t,
 		base:     x.base,
 	}
