--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -75,8 +75,8 @@
 
 // Sharer holds this host's tokens; it is safe for concurrent use.
 //
-// Each of a customer's seats, which are all hosts but for small customers, accrues an equal part of
-// the rate, up to an equal part of the burst and the allowance. Tokens move by debit first and
+// Each of a customer's seats, which are all hosts but for small customers, accrues an equal part
+// of the rate, up to an equal part of the burst and the allowance. Tokens move by debit first and
 // credit later, and a process starts without any, so their sum never exceeds both, and a lost
 // message only loses tokens.
 type Sharer struct {
@@ -146,8 +146,8 @@
 	s.accounts = kept
 }
 
-// seat gives the account its part of a customer's rate and of the tokens that all hosts may hold. A
-// host without a seat accrues nothing and holds what it is given for a waiting request.
+// seat gives the account its part of a customer's rate and of the tokens that all hosts may hold.
+// A host without a seat accrues nothing and holds what it is given for a waiting request.
 func (s *Sharer) seat(a *account, customer string, rate, most float64, hosts []string) {
 	n := max(len(hosts), 1)
 	seats := min(max(int(most/seatTokens), 1), n)
