commander: trace a request through the logs; steerer: log why no target was found

Cause: a refusal for want of room did not say which target's load decided, and an engineer had to gather a request's lines by hand. Change: event 1124 with load, slots and expected time; the command trace gathers the lines of one request over files and says the cause in one sentence.

--- /dev/null
+++ b/commander/trace.go
@@ -0,0 +1,131 @@
+package commander
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/fescuethread/fescuethread/steerer"
+)
+
+// longestLine bounds a line of a log.
+const longestLine = 1 << 20
+
+func init() {
+	register(newTrace)
+}
+
+func newTrace(env Environment, _ *options) *cobra.Command {
+	return &cobra.Command{
+		Use:   "trace ID FILE...",
+		Short: "Show what hosts logged of one request, and why it ended as it did",
+		Long: "Trace gathers the lines of a request from the logs of all hosts in the order of time\n" +
+			"and says in one sentence why the request ended as it did. What stands before a line's\n" +
+			"JSON, such as a collector's prefix, is left out.",
+		Example: "  fescuethread trace 9c41d07be2a35f68 edge-1.log edge-2.log",
+		Args:    cobra.MinimumNArgs(2),
+		RunE: func(_ *cobra.Command, args []string) error {
+			lines, err := readTrace(args[0], args[1:])
+			if err != nil {
+				return &Error{Op: "trace", Kind: KindInput, Err: err}
+			}
+			if len(lines) == 0 {
+				cause := errors.Errorf("no line of request %q in the files", args[0])
+				return &Error{Op: "trace", Kind: KindInput, Err: cause}
+			}
+			for _, l := range lines {
+				if _, err := fmt.Fprintln(env.Out, l.text); err != nil {
+					return failed("trace", err)
+				}
+			}
+			_, err = fmt.Fprintln(env.Out, conclude(lines))
+			return failed("trace", err)
+		},
+	}
+}
+
+// traceLine is one line of a log.
+type traceLine struct {
+	Timestamp string                     `json:"timestamp"`
+	Message   string                     `json:"message"`
+	Fields    map[string]json.RawMessage `json:"fields"`
+
+	text string
+}
+
+func (l *traceLine) field(name string) string {
+	return strings.Trim(string(l.Fields[name]), `"`)
+}
+
+func (l *traceLine) event() string {
+	return l.field("event")
+}
+
+func readTrace(id string, files []string) ([]traceLine, error) {
+	var lines []traceLine
+	for _, file := range files {
+		f, err := os.Open(file)
+		if err != nil {
+			return nil, err
+		}
+		found, err := scanTrace(id, f)
+		_ = f.Close()
+		if err != nil {
+			return nil, errors.Wrap(err, file)
+		}
+		lines = append(lines, found...)
+	}
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Timestamp < lines[j].Timestamp })
+	return lines, nil
+}
+
+func scanTrace(id string, f *os.File) ([]traceLine, error) {
+	var lines []traceLine
+	scanner := bufio.NewScanner(f)
+	scanner.Buffer(nil, longestLine)
+	for scanner.Scan() {
+		_, text, found := strings.Cut(scanner.Text(), "{")
+		if !found || !strings.Contains(text, id) {
+			continue
+		}
+		l := traceLine{text: "{" + text}
+		if json.Unmarshal([]byte(l.text), &l) == nil && l.field("request") == id {
+			lines = append(lines, l)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+// conclude says in one sentence why the request ended as it did.
+func conclude(lines []traceLine) string {
+	var try, end *traceLine
+	for i := range lines {
+		switch lines[i].event() {
+		case fmt.Sprint(steerer.EventTryFailed.Number), fmt.Sprint(steerer.EventNoTarget.Number):
+			try = &lines[i]
+		case fmt.Sprint(steerer.EventEnded.Number), fmt.Sprint(steerer.EventRefused.Number):
+			end = &lines[i]
+		}
+	}
+	if end == nil {
+		return "cause: the files hold no end of the request: its host stopped, or lines were dropped"
+	}
+	text := fmt.Sprintf("cause: host %s answered %s after %s tries and %s ms: %s",
+		end.field("self"), end.field("status"), end.field("tries"), end.field("took_ms"),
+		end.field("reason"))
+	if try == nil {
+		return text
+	}
+	if try.event() == fmt.Sprint(steerer.EventNoTarget.Number) {
+		return text + fmt.Sprintf("; target %s had a load of %s on %s slots",
+			try.field("target"), try.field("load"), try.field("slots"))
+	}
+	return text + fmt.Sprintf("; target %s: %s (%s)",
+		try.field("target"), try.field("outcome"), try.field("cause"))
+}
--- a/selector/search.go
+++ b/selector/search.go
@@ -233,7 +233,7 @@
 	if t := x.least(zones); t != nil && x.fill(t) < spareFill && x.fits(t) {
 		return x.choose(t, RuleLeast), true
 	}
-	return x.refuse(ReasonFull), true
+	return x.refuseAt(first), true
 }
 
 // ofObject takes the object's first target also where the request waits a little, and the second
@@ -422,6 +422,17 @@
 	}
 }
 
+// refuseAt refuses a request for the load of its object's first target.
+func (x *search) refuseAt(t *target) Choice {
+	c := x.refuse(ReasonFull)
+	if t != nil {
+		c.Target = t.Target
+		c.Load = t.load(x.now)
+		c.Expected = x.expected(t)
+	}
+	return c
+}
+
 func (x *search) refuse(reason Reason) Choice {
 	return Choice{Reason: reason, Retry: retryFirst + rand.N(retrySpread)}
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -67,7 +67,7 @@
 type Choice struct {
 	// Reason says why there is a target or none.
 	Reason Reason
-	// Target is the chosen target.
+	// Target is the chosen target, or the one whose load was too high.
 	Target Target
 	// Rule says how the target was found.
 	Rule Rule
--- a/steerer/events.go
+++ b/steerer/events.go
@@ -14,6 +14,10 @@
 	EventTryFailed = logger.Define(1121, log.InfoLevel, "try failed",
 		"A target did not answer usably; the fields say what is known of its run and what follows.",
 		"If one target stands out, look at it.")
+	// EventNoTarget reports a request for which no target was found.
+	EventNoTarget = logger.Define(1124, log.InfoLevel, "no target found",
+		"No target could serve the request in time; the fields hold the load of its first target.",
+		"Compare the load with the target's slots; add targets if this lasts.")
 	// EventEnded reports how a request ended.
 	EventEnded = logger.Define(1122, log.InfoLevel, "request answered",
 		"A request ended with the status and the reason in the fields.", "Nothing.")
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -21,6 +21,7 @@
 	for {
 		choice := s.parts.Targets.Choose(timer.Now(), s.query(q))
 		if !choice.Chosen() {
+			s.logNoTarget(q, &choice)
 			return s.unserved(q, last, reasonOf(choice.Reason), choice.Retry)
 		}
 		if !s.granted(q) {
@@ -164,6 +165,16 @@
 	return refusal(http.StatusServiceUnavailable, r, max(retry, retrySoon))
 }
 
+func (s *Steerer) logNoTarget(q *request, c *selector.Choice) {
+	s.parts.Log.Log(EventNoTarget,
+		logger.F("request", q.id), logger.F("service", q.service),
+		logger.F("reason", string(c.Reason)), logger.F("target", c.Target.ID),
+		logger.F("load", round(c.Load)), logger.F("slots", c.Target.Slots),
+		logger.F("expected_ms", c.Expected.Milliseconds()),
+		logger.F("left_ms", q.deadline.Sub(timer.Now()).Milliseconds()),
+		logger.F("returned", q.returned))
+}
+
 func (s *Steerer) logFailure(q *request, try *tryResult, took time.Duration) {
 	s.parts.Log.Log(EventTryFailed,
 		logger.F("request", q.id), logger.F("target", q.target),
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -240,8 +240,8 @@
 	return host
 }
 
-// cameBack reports whether a caller has waited before: its callers' requests on the route have more
-// time left otherwise.
+// cameBack reports whether a caller has waited before: requests on the route have more time left
+// otherwise.
 func (s *Steerer) cameBack(route string, wait time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -316,8 +316,8 @@
 	return s.judge(q)
 }
 
-// spend spends one token of the customer's rate; a request that finds none waits a little for those
-// that other hosts can spare.
+// spend spends one token of the customer's rate; a request that finds none waits a little for
+// those that other hosts can spare.
 func (s *Steerer) spend(ctx context.Context, now timer.Instant, customer string) bool {
 	if s.parts.Shares.Admit(now, customer) == sharer.ReasonAdmitted {
 		return true
