steerer: log the age of the proof of the hosts too

Cause: a keyed request was refused as not proved with a proof of the plan of 161 ms: the list of hosts was not read yet after a kill, and no line said so. Change: a field. Conclusion: traced, no fault.

--- a/steerer/result.go
+++ b/steerer/result.go
@@ -50,17 +50,17 @@
 		logger.F("status", r.Status), logger.F("reason", string(r.Reason)),
 		logger.F("target", q.target), logger.F("tries", q.tries),
 		logger.F("took_ms", took.Milliseconds()), logger.F("plan", version),
-		logger.F("proof_ms", s.proofAge().Milliseconds()),
+		logger.F("proof_ms", age(s.parts.Plans.Proved())),
+		logger.F("hosts_ms", age(s.cfg.ListedSince())),
 		logger.F("retry_ms", r.Retry.Milliseconds()))
 }
 
-// proofAge is the age of the newest proof that the known keys are the newest.
-func (s *Steerer) proofAge() time.Duration {
-	proved := s.parts.Plans.Proved()
-	if proved == 0 {
-		return -time.Millisecond
+// age returns the milliseconds since the instant of a proof; -1 is never.
+func age(at timer.Instant) int64 {
+	if at == 0 {
+		return -1
 	}
-	return timer.Now().Sub(proved)
+	return timer.Now().Sub(at).Milliseconds()
 }
 
 func (s *Steerer) write(w http.ResponseWriter, q *request, r Result) {
