--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -21,7 +21,7 @@
 )
 
 // startTerm is the time within which the engine's pollers surely run.
-const startTerm = 200 * time.Millisecond
+const startTerm = 100 * time.Millisecond
 
 // readBytes is the size of the buffer that one turn reads into.
 const readBytes = 16 << 10
