prover: give relays ports that no host was given

Ruled out: the product (apply refused the inventory, naming both). Change: relays listen on addresses from freeAddress, which gives none twice.

--- a/prover/fleet_test.go
+++ b/prover/fleet_test.go
@@ -266,8 +266,8 @@
 		}
 		h.ip = fmt.Sprintf("127.0.1.%d", len(f.hosts)+1)
 		h.listen = f.freeAddressOn(h.ip)
-		h.peer = f.network.relay(f.t, "127.0.0.1:0", h.ip, h.listen)
-		h.platform = f.network.relayFrom(f.t, h.ip, platformIP, f.platform)
+		h.peer = f.network.relay(f.t, f.freeAddress(), h.ip, h.listen)
+		h.platform = f.network.relayFrom(f.t, f.freeAddress(), h.ip, platformIP, f.platform)
 		f.hosts = append(f.hosts, h)
 		fmt.Fprintf(b, "[[hosts]]\nname = %q\nzone = %q\naddress = %q\npeer = %q\nadmin = %q\n",
 			h.name, h.zone, h.caller, h.peer, h.admin)
--- a/prover/network_test.go
+++ b/prover/network_test.go
@@ -45,9 +45,9 @@
 }
 
 // relayFrom listens for connections of one known source.
-func (n *network) relayFrom(t *testing.T, from, to, target string) string {
+func (n *network) relayFrom(t *testing.T, listen, from, to, target string) string {
 	t.Helper()
-	return n.listen(t, "127.0.0.1:0", target, func(net.Conn) pair { return newPair(from, to) })
+	return n.listen(t, listen, target, func(net.Conn) pair { return newPair(from, to) })
 }
 
 func (n *network) listen(
