--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -10,6 +10,7 @@
 
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -78,11 +79,6 @@
 	}, nil
 }
 
-// Incarnation identifies this process among those of its host.
-func (a *Announcer) Incarnation() uint64 {
-	return a.incarnation
-}
-
 // Receive reads datagrams until ctx ends.
 func (a *Announcer) Receive(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
@@ -95,7 +91,7 @@
 		}
 		if err != nil {
 			a.log.Log(eventReceiveFailed, logger.F("cause", err.Error()))
-			if !pause(ctx, Period) {
+			if (pacer.Clock{}).Pause(ctx, Period) != nil {
 				return nil
 			}
 			continue
@@ -223,14 +219,3 @@
 			logger.F("silent_ms", now.Sub(p.Heard).Milliseconds()))
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/conductor/duty.go
+++ b/conductor/duty.go
@@ -10,6 +10,7 @@
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/sharer"
 	"github.com/fescuethread/fescuethread/timer"
@@ -243,13 +244,7 @@
 	return peers
 }
 
+// sleep reports whether the time has passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
+	return (pacer.Clock{}).Pause(ctx, d) == nil
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
@@ -145,7 +146,7 @@
 				f.log.Log(eventStoreLost,
 					logger.F("reads", which.String()), logger.F("cause", err.Error()))
 			}
-			if !pause(ctx, backoff(failures)) {
+			if (pacer.Clock{}).Pause(ctx, backoff(failures)) != nil {
 				return nil
 			}
 		}
@@ -387,17 +388,3 @@
 	d = min(d, longestBackoff)
 	return d/2 + rand.N(d)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/logger"
+	"github.com/fescuethread/fescuethread/pacer"
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
@@ -200,7 +201,9 @@
 		if err := ctx.Err(); err != nil {
 			t.Fatal(err)
 		}
-		pause(ctx, time.Millisecond)
+		if err := (pacer.Clock{}).Pause(ctx, time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
 	}
 	cancel()
 	if err := <-done; err != nil {
