--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -184,3 +185,24 @@
 		t.Fatalf("%v s after a file with a fault", got)
 	}
 }
+
+// TestPageHasEverySetting holds docs/SETTINGS-edge.md to the code.
+func TestPageHasEverySetting(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS-edge.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings := reflect.TypeFor[Settings]()
+	for i := range settings.NumField() {
+		table := settings.Field(i)
+		if table.Type.Kind() != reflect.Struct {
+			continue
+		}
+		for j := range table.Type.NumField() {
+			name := table.Tag.Get("toml") + "." + table.Type.Field(j).Tag.Get("toml")
+			if !strings.Contains(string(page), "| `"+name+"` |") {
+				t.Errorf("the page lacks %s", name)
+			}
+		}
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
@@ -19,6 +20,9 @@
 	DefaultHeaderBytes = 64 << 10
 )
 
+// startTerm is the time within which the engine's pollers surely run.
+const startTerm = 200 * time.Millisecond
+
 // readBytes is the size of the buffer that one turn reads into.
 const readBytes = 16 << 10
 
@@ -34,11 +38,12 @@
 
 // Exchanger owns the engine that its connections are read by.
 type Exchanger struct {
-	engine *nbhttp.Engine
-	bounds Bounds
-	dialer net.Dialer
-	closed chan struct{}
-	once   sync.Once
+	engine  *nbhttp.Engine
+	bounds  Bounds
+	dialer  net.Dialer
+	closed  chan struct{}
+	once    sync.Once
+	started time.Time
 }
 
 // New starts an exchanger; zero bounds stand for the defaults.
@@ -59,7 +64,9 @@
 	if err := e.Start(); err != nil {
 		return nil, &Error{Op: "start", Kind: KindStart, Err: err}
 	}
-	return &Exchanger{engine: e, bounds: b, closed: make(chan struct{})}, nil
+	return &Exchanger{
+		engine: e, bounds: b, closed: make(chan struct{}), started: time.Now(),
+	}, nil
 }
 
 // read takes all that a connection has. The engine would name an orderly end also for a reset that
@@ -100,6 +107,8 @@
 func (e *Exchanger) Close() {
 	e.once.Do(func() {
 		close(e.closed)
+		// The engine never stops when it is told to before its pollers run.
+		time.Sleep(time.Until(e.started.Add(startTerm)))
 		e.engine.Stop()
 	})
 }
--- a/server/config.go
+++ b/server/config.go
@@ -56,5 +56,8 @@
 	return c.Idle + 2*linger
 }
 
+// startTerm is the time within which the engine's pollers surely run.
+const startTerm = 200 * time.Millisecond
+
 // linger is the time for which a refused connection stays open to deliver the refusal.
 const linger = time.Second
--- a/server/server.go
+++ b/server/server.go
@@ -55,10 +55,13 @@
 	var sweeping sync.WaitGroup
 	defer sweeping.Wait()
 	sweeping.Go(s.sweep)
+	started := time.Now()
 	err := s.accept()
 	s.active.Wait()
 	s.cancel()
 	s.closeAll()
+	// The engine never stops when it is told to before its pollers run.
+	time.Sleep(time.Until(started.Add(startTerm)))
 	s.engine.Stop()
 	if ctx.Err() != nil {
 		return nil
