exchanger: check response heads before they are parsed

Cause: the parser hands over too little of a head: a status of four digits was taken, a folded field counted as a field of its own, and a head of a close-delimited response that came in two reads failed as malformed, since only the bytes up to the status line were kept. A line without end was buffered up to 64 MiB, a body up to 64 MiB for each connection, beyond a host's memory with five of them. Change: headCheck reads the raw head before the parser, bounds it, and says where the body begins; bodies are limited to 16 MiB each and 64 MiB together.

--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -1,7 +1,6 @@
 package exchanger
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strings"
@@ -13,9 +12,6 @@
 // MaxInterimResponses is the number of interim responses (1xx) accepted before the final one.
 const MaxInterimResponses = 8
 
-// headerEnd ends the header of a response.
-var headerEnd = []byte("\r\n\r\n")
-
 // call collects the response to one request from the parser's callbacks. The connection's mutex
 // guards it.
 type call struct {
@@ -24,6 +20,8 @@
 	idHeader     string
 	limits       Limits
 	parser       *nbhttp.Parser
+	head         headCheck
+	buffered     *bufferBudget
 	response     Response
 	headerSize   int
 	interimCount int
@@ -33,19 +31,18 @@
 	closeAfter bool
 	// closeDelimited is set when the end of the connection marks the end of the body.
 	closeDelimited bool
-	// received holds the data read until the status line was parsed; it is kept only if
-	// close-delimited responses are allowed.
-	received []byte
-	err      error
-	done     chan struct{}
+	err            error
+	done           chan struct{}
 }
 
-func newCall(r *Request, limits Limits) *call {
+func newCall(r *Request, limits Limits, buffered *bufferBudget) *call {
 	c := &call{
 		method:   r.Method,
 		id:       r.ID,
 		idHeader: r.idHeader(),
 		limits:   limits,
+		head:     headCheck{maxBytes: limits.MaxHeaderBytes},
+		buffered: buffered,
 		done:     make(chan struct{}),
 	}
 	c.response.Header = http.Header{}
@@ -55,15 +52,9 @@
 // feed parses data. The connection can't be used again after an error.
 func (c *call) feed(data []byte) error {
 	c.started = true
-	if c.closeDelimited {
-		return c.appendCloseDelimited(data)
-	}
-	if c.limits.AllowCloseDelimited && c.response.Status == 0 {
-		c.received = append(c.received, data...)
-	}
-	err := c.parser.Parse(data)
-	if c.closeDelimited && !c.finished {
-		return c.startCloseDelimited()
+	rest, err := c.feedHead(data)
+	if err == nil && len(rest) > 0 {
+		err = c.feedBody(rest)
 	}
 	if !c.finished {
 		return c.reject(err)
@@ -75,24 +66,34 @@
 	return nil
 }
 
-// startCloseDelimited stores the data after the header as the start of the body. The parser can't:
-// it assumes that a response without a length has no body and parses that data as a new response.
-func (c *call) startCloseDelimited() error {
-	body := c.received
-	c.received = nil
-	for range c.interimCount + 1 {
-		_, rest, found := bytes.Cut(body, headerEnd)
-		if !found {
-			c.fail(ErrMalformed)
-			return ErrMalformed
+// feedHead checks and parses the heads of interim responses and of the final one; it returns the
+// data behind them.
+func (c *call) feedHead(data []byte) ([]byte, error) {
+	for !c.head.done && len(data) > 0 {
+		n, err := c.head.scan(data)
+		if err != nil {
+			return nil, err
+		}
+		if err := c.parser.Parse(data[:n]); err != nil {
+			return nil, err
 		}
-		body = rest
+		data = data[n:]
+	}
+	return data, nil
+}
+
+// feedBody parses what follows the head. A close-delimited body doesn't go through the parser: it
+// assumes that a response without a length has no body.
+func (c *call) feedBody(data []byte) error {
+	if c.closeDelimited && !c.finished {
+		return c.appendBody(data)
 	}
-	return c.appendCloseDelimited(body)
+	return c.parser.Parse(data)
 }
 
-func (c *call) appendCloseDelimited(data []byte) error {
-	if len(c.response.Body)+len(data) > c.limits.MaxBodyBytes {
+// appendBody adds data to the body, up to the limit for one response and the budget for all.
+func (c *call) appendBody(data []byte) error {
+	if len(c.response.Body)+len(data) > c.limits.MaxBodyBytes || !c.buffered.take(len(data)) {
 		c.fail(ErrTooLarge)
 		return ErrTooLarge
 	}
@@ -118,7 +119,10 @@
 		return nil
 	}
 	if errors.Is(err, nbhttp.ErrTooLong) {
-		c.fail(ErrTooLarge)
+		err = ErrTooLarge
+	}
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrMalformed) {
+		c.fail(err)
 		return err
 	}
 	c.fail(errors.WithMessage(ErrMalformed, err.Error()))
@@ -297,12 +301,7 @@
 	if c.finished {
 		return ErrUnsolicited
 	}
-	if len(c.response.Body)+len(data) > c.limits.MaxBodyBytes {
-		c.fail(ErrTooLarge)
-		return ErrTooLarge
-	}
-	c.response.Body = append(c.response.Body, data...)
-	return nil
+	return c.appendBody(data)
 }
 
 // OnComplete implements nbhttp.Processor.
@@ -326,6 +325,7 @@
 		return
 	}
 	c.response = Response{Header: http.Header{}}
+	c.head = headCheck{maxBytes: c.limits.MaxHeaderBytes}
 }
 
 func (c *call) complete() {
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -142,7 +142,7 @@
 	if c.closed {
 		return nil, ErrClosed
 	}
-	cl := newCall(r, c.exchanger.limits)
+	cl := newCall(r, c.exchanger.limits, c.exchanger.buffered)
 	cl.parser = nbhttp.NewParser(c.nbc, c.exchanger.engine, cl, true, nil)
 	c.current = cl
 	c.exchanges++
@@ -184,6 +184,7 @@
 	defer c.mu.Unlock()
 	cl := c.current
 	c.current = nil
+	c.exchanger.buffered.release(len(cl.response.Body))
 	if cl.err != nil || cl.closeAfter {
 		c.closed = true
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -18,6 +18,8 @@
 	DefaultMaxBodyBytes = 16 << 20
 	// DefaultMaxHeaderBytes is the default maximum of a response header.
 	DefaultMaxHeaderBytes = 64 << 10
+	// DefaultMaxBufferedBytes is the default maximum of all responses that are being received.
+	DefaultMaxBufferedBytes = 64 << 20
 )
 
 // minEngineUptime is the minimum time between start and stop of the engine: its pollers are
@@ -32,6 +34,8 @@
 	MaxBodyBytes int
 	// MaxHeaderBytes is the maximum size of the header: names and values of its fields.
 	MaxHeaderBytes int
+	// MaxBufferedBytes is the maximum size of the bodies of all responses that are being received.
+	MaxBufferedBytes int
 	// AllowCloseDelimited accepts close-delimited responses: without a length, the end of the
 	// connection marks the end of the body.
 	AllowCloseDelimited bool
@@ -41,6 +45,7 @@
 type Exchanger struct {
 	engine    *nbhttp.Engine
 	limits    Limits
+	buffered  *bufferBudget
 	dialer    net.Dialer
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -55,6 +60,9 @@
 	if limits.MaxHeaderBytes <= 0 {
 		limits.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
+	if limits.MaxBufferedBytes <= 0 {
+		limits.MaxBufferedBytes = DefaultMaxBufferedBytes
+	}
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Name:               "exchanger",
 		NPoller:            1,
@@ -67,6 +75,7 @@
 	}
 	return &Exchanger{
 		engine: e, limits: limits, closed: make(chan struct{}), started: time.Now(),
+		buffered: &bufferBudget{maxBytes: int64(limits.MaxBufferedBytes)},
 	}, nil
 }
 
--- a/steerer/sender.go
+++ b/steerer/sender.go
@@ -37,7 +37,7 @@
 	// defaultMaxConnections is the maximum number of connections to a target whose service sets none.
 	defaultMaxConnections = 64
 	// maxResponseBytes and maxResponseHeaderBytes limit a target's response.
-	maxResponseBytes       = 64 << 20
+	maxResponseBytes       = 16 << 20
 	maxResponseHeaderBytes = 64 << 10
 )
 
