selector: send nothing to targets that are leaving or ask for a pause

Change: selector.hold keeps what a target has said; only a new start ends a leaving, and an entry that lapses and comes back keeps its hold. If all targets of a request hold off it is refused at once with the earliest end as Retry-After, at most a third of the time that it has. Retry-After is parsed strictly and bounded to a minute. A failure without a possible run is a 503.

--- a/selector/search.go
+++ b/selector/search.go
@@ -231,7 +231,8 @@
 			continue
 		}
 		for _, t := range x.svc.zones[zone] {
-			if t.Draining || t.misdirected || x.tried(t) || !x.belowColdLimit(t) || !x.hasFreeSlot(t) {
+			if !t.accepts(x.now) || t.misdirected || x.tried(t) ||
+				!x.belowColdLimit(t) || !x.hasFreeSlot(t) {
 				continue
 			}
 			if best == nil || t.failureRate < best.failureRate {
@@ -240,7 +241,7 @@
 		}
 	}
 	if best == nil {
-		return x.refuse(ReasonNoTarget)
+		return x.refuseHeldOff()
 	}
 	return x.choose(best, RuleUnhealthy)
 }
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -35,6 +35,8 @@
 	ReasonChosen Reason = "chosen"
 	// ReasonNoTarget means that the service has no target that the request may be sent to.
 	ReasonNoTarget Reason = "no target"
+	// ReasonHeldOff means that the targets that the request may be sent to have asked for a pause.
+	ReasonHeldOff Reason = "held off"
 	// ReasonFull means that the targets are too loaded to take the request or to respond in time.
 	ReasonFull Reason = "full"
 )
@@ -93,6 +95,10 @@
 	Outcome Outcome
 	// Report is the load that the target reported in the response, or nil.
 	Report *Load
+	// Leaving means that the target said in the response that it is shutting down.
+	Leaving bool
+	// HoldFor is how long the target wants no further requests of this host; 0 if it didn't say.
+	HoldFor time.Duration
 	// Latency is the time from sending the request to the end of the attempt.
 	Latency time.Duration
 	// BaseLatency is the latency that was expected without waiting for a slot; End sets it.
@@ -109,6 +115,7 @@
 	services  map[string]*service
 	evacuated map[string]bool
 	demands   map[string]Demand
+	departed  map[string]departed
 	// populated is set by the first call of SetTargets.
 	populated bool
 }
@@ -145,6 +152,7 @@
 		services:  map[string]*service{},
 		evacuated: map[string]bool{},
 		demands:   map[string]Demand{},
+		departed:  map[string]departed{},
 	}
 }
 
@@ -177,8 +185,9 @@
 			gone = append(gone, t.ID)
 		}
 	}
-	for id := range s.targets {
+	for id, t := range s.targets {
 		if !listed[id] {
+			s.keepHold(now, t)
 			delete(s.targets, id)
 			gone = append(gone, id)
 		}
@@ -201,6 +210,8 @@
 		fresh.coldUntil = now.Add(s.initialColdPeriod(t))
 		if restarted {
 			fresh.coldSent = old.coldSent
+		} else {
+			s.restoreHold(fresh)
 		}
 		s.targets[t.ID] = fresh
 		return restarted
@@ -260,6 +271,7 @@
 func (s *Selector) Tick(now timer.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.pruneDeparted(now)
 	for name, svc := range s.services {
 		svc.meter.tick(now)
 		svc.detectCommonFailure(now)
--- a/selector/target.go
+++ b/selector/target.go
@@ -99,6 +99,7 @@
 	reportInFlight int
 	// reportTTL is the age from which the report is ignored.
 	reportTTL         time.Duration
+	hold              hold
 	coldUntil         timer.Instant
 	coldSent          []timer.Instant
 	failureRate       float64
@@ -138,9 +139,14 @@
 	return float64(t.inFlight) + others
 }
 
-// usable reports whether the target is neither draining nor misdirected nor ejected.
+// usable reports whether the target accepts requests and is neither misdirected nor ejected.
 func (t *target) usable(now timer.Instant) bool {
-	return !t.Draining && !t.misdirected && !now.Before(t.ejectedUntil)
+	return t.accepts(now) && !t.misdirected && !now.Before(t.ejectedUntil)
+}
+
+// accepts reports whether the target wants requests: it is neither shutting down nor holding off.
+func (t *target) accepts(now timer.Instant) bool {
+	return !t.Draining && !t.hold.blocks(now)
 }
 
 // healthy reports whether the target is usable, not failing and responsive.
@@ -186,6 +192,7 @@
 // end records the result of a request.
 func (t *target) end(now timer.Instant, r Result, coldPeriod, serviceLatency time.Duration) {
 	t.inFlight--
+	t.hold.observe(now, r)
 	t.reportTTL = min(max(serviceLatency, minReportTTL), maxReportTTL)
 	if r.Report != nil {
 		t.report = *r.Report
--- a/standin/targeter/target.go
+++ b/standin/targeter/target.go
@@ -28,6 +28,8 @@
 	ModeTruncate
 	// ModeShed sheds the request with 503, without processing it.
 	ModeShed
+	// ModeHold sheds like ModeShed and asks for a pause of holdTime.
+	ModeHold
 
 	// ModeCount is the number of modes.
 	ModeCount
@@ -41,6 +43,8 @@
 	// workTime is the processing time of a request, multiplied by slowFactor in ModeSlow.
 	workTime   = 20 * time.Millisecond
 	slowFactor = 20
+	// holdTime is the pause that ModeHold asks for, in seconds.
+	holdTime = "1"
 	// faultInterval makes a mode apply to every third request only; ModeSlow applies to all.
 	faultInterval = 3
 )
@@ -128,6 +132,12 @@
 	return !wasDraining
 }
 
+func (t *Target) isDraining() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.draining
+}
+
 // admit returns the mode for a request, and whether a slot or a place in the queue is free for it.
 func (t *Target) admit() (Mode, bool) {
 	t.mu.Lock()
@@ -175,11 +185,17 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if t.isDraining() {
+		w.Header().Set(platform.HeaderLeaving, "1")
+	}
 	m, admitted := t.admit()
-	if !admitted || m == ModeShed {
+	if !admitted || m == ModeShed || m == ModeHold {
 		if admitted {
 			t.release()
 		}
+		if m == ModeHold {
+			w.Header().Set("Retry-After", holdTime)
+		}
 		w.Header().Set(platform.HeaderNotExecuted, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/steerer/events.go
+++ b/steerer/events.go
@@ -19,6 +19,10 @@
 	EventNoTarget = logger.Define(1124, log.InfoLevel, "no target found",
 		"No target can serve the request in time; the fields hold the load of the preferred target.",
 		"Compare the load with the target's slots; add targets if this persists.")
+	// EventTargetHeld is logged when a target says that it is leaving or wants a pause.
+	EventTargetHeld = logger.Define(1125, log.InfoLevel, "target held off",
+		"A target said in a response that it is shutting down, or for how long it wants no requests.",
+		"If `invalid` isn't empty, report the field's value to the target's owner.")
 	// EventEnded is logged when a request that was sent to a target ends.
 	EventEnded = logger.Define(1122, log.InfoLevel, "request ended",
 		"A request ended with the status and reason in the fields.", "Nothing.")
--- a/steerer/reason.go
+++ b/steerer/reason.go
@@ -27,6 +27,8 @@
 	ReasonFull Reason = "full"
 	// ReasonNoTarget means that the service has no usable target.
 	ReasonNoTarget Reason = "no target"
+	// ReasonHeldOff means that all usable targets have asked for a pause.
+	ReasonHeldOff Reason = "held off"
 	// ReasonRetryBudget means that the service's retry budget is exhausted.
 	ReasonRetryBudget Reason = "retry budget"
 	// ReasonAttempts means that the maximum number of attempts was reached.
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -59,8 +59,11 @@
 }
 
 func reasonOf(r selector.Reason) Reason {
-	if r == selector.ReasonNoTarget {
+	switch r {
+	case selector.ReasonNoTarget:
 		return ReasonNoTarget
+	case selector.ReasonHeldOff:
+		return ReasonHeldOff
 	}
 	return ReasonFull
 }
@@ -105,7 +108,9 @@
 	}
 	s.deps.Selector.End(ended, c, s.query(q), selector.Result{
 		Outcome: res.outcome, Report: res.load, Latency: ended.Sub(now),
+		Leaving: res.leaving, HoldFor: res.holdFor,
 	})
+	s.logHold(q, res)
 	s.deps.Stats.countAttempt(q.service, outcomeName(res.outcome), ended.Sub(now))
 	s.endPermit(ended, q, res)
 	if !res.usable() {
@@ -198,13 +203,13 @@
 	if failure != nil && failure.mayHaveRun && failure.response != nil && failure.stamped {
 		return failure.result()
 	}
-	if r == ReasonTimeout {
+	switch {
+	case q.possibleRuns == 0:
+		return rejection(http.StatusServiceUnavailable, r, max(retryAfter, shortRetryAfter))
+	case r == ReasonTimeout:
 		return Result{Status: http.StatusGatewayTimeout, Reason: r}
 	}
-	if q.possibleRuns > 0 {
-		return Result{Status: http.StatusBadGateway, Reason: ReasonResponseLost}
-	}
-	return rejection(http.StatusServiceUnavailable, r, max(retryAfter, shortRetryAfter))
+	return Result{Status: http.StatusBadGateway, Reason: ReasonResponseLost}
 }
 
 func (s *Steerer) logNoTarget(q *request, c *selector.Choice) {
@@ -225,6 +230,17 @@
 		logger.F("took_ms", elapsed.Milliseconds()))
 }
 
+// logHold logs what a target said about further requests.
+func (s *Steerer) logHold(q *request, res *attemptResult) {
+	if !res.leaving && res.holdFor == 0 && res.invalidHold == "" {
+		return
+	}
+	s.deps.Log.Log(EventTargetHeld,
+		logger.F("request", q.id), logger.F("target", q.lastTarget),
+		logger.F("leaving", res.leaving), logger.F("hold_ms", res.holdFor.Milliseconds()),
+		logger.F("limit_ms", selector.MaxHold.Milliseconds()), logger.F("invalid", res.invalidHold))
+}
+
 // round rounds to one decimal place.
 func round(v float64) float64 {
 	return float64(int(v*10+0.5)) / 10
--- a/steerer/sender.go
+++ b/steerer/sender.go
@@ -39,6 +39,8 @@
 	// maxResponseBytes and maxResponseHeaderBytes limit a target's response.
 	maxResponseBytes       = 16 << 20
 	maxResponseHeaderBytes = 64 << 10
+	// leavingValue is the value of platform.HeaderLeaving in responses of a leaving target.
+	leavingValue = "1"
 )
 
 // Sender sends requests to targets over pooled connections.
@@ -237,6 +239,8 @@
 	if load, ok := platform.ParseLoad(resp.Header.Get(platform.HeaderLoad)); ok {
 		res.load = &load
 	}
+	res.leaving = resp.Header.Get(platform.HeaderLeaving) == leavingValue
+	res.readHold(resp)
 	notRun := resp.Header.Get(platform.HeaderNotExecuted) != ""
 	switch {
 	case resp.Status == http.StatusMisdirectedRequest:
@@ -266,6 +270,12 @@
 	outcome  selector.Outcome
 	response *exchanger.Response
 	load     *selector.Load
+	// leaving means that the target is shutting down.
+	leaving bool
+	// holdFor is how long the target wants no requests; 0 if it didn't say.
+	holdFor time.Duration
+	// invalidHold is a Retry-After field that can't be parsed; empty if there is none.
+	invalidHold string
 	// mayHaveRun is false only if the target certainly did not run the request.
 	mayHaveRun bool
 	// stamped means that the response has platform.HeaderStamp, which marks responses of targets.
@@ -277,6 +287,20 @@
 	cause       string
 }
 
+// readHold reads how long the target wants no requests, from the Retry-After of a 503 response.
+func (r *attemptResult) readHold(resp *exchanger.Response) {
+	value := resp.Header.Get("Retry-After")
+	if resp.Status != http.StatusServiceUnavailable || value == "" {
+		return
+	}
+	delay, ok := parseRetryAfter(value, time.Now())
+	if !ok {
+		r.invalidHold = value
+		return
+	}
+	r.holdFor = delay
+}
+
 // usable reports whether the response is returned to the caller without a retry.
 func (r *attemptResult) usable() bool {
 	return r.outcome == selector.OutcomeAnswered
