server: serve pipelined requests concurrently and in order

Cause: some callers of the users' newest deployments send requests before the first is answered. The requests of a connection ran one after the other; those behind a response that closes the connection were run and never answered; a 17th one, or a malformed one, reset the connection with the responses due; the arrival and the header timeout of a request that came with the end of the one before were not measured. Change: each request has a turn; handlers run at once, responses are buffered and written by turns. Only the last pending response closes a connection; nothing behind it is read. A request that must not run twice awaits its turn before anything is done for it. The fuzz test's recorder awaits its turn too, so its check of the order stays as strict.

--- a/server/arrival.go
+++ b/server/arrival.go
@@ -14,8 +14,7 @@
 }
 
 // ArrivalOf returns the time at which the first byte of a request arrived, given the request's
-// context. It returns the current time if the request was not read by a Server, or if all of it
-// arrived in one read with the end of the previous request.
+// context. It returns the current time if the request was not read by a Server.
 func ArrivalOf(ctx context.Context) timer.Instant {
 	if at, ok := ctx.Value(arrivalKey{}).(timer.Instant); ok && at != 0 {
 		return at
--- a/server/connection.go
+++ b/server/connection.go
@@ -14,6 +14,7 @@
 
 // connection is a connection of a caller.
 type connection struct {
+	server    *Server
 	raw       *nbio.Conn
 	parser    *nbhttp.Parser
 	processor *processor
@@ -23,7 +24,6 @@
 	// refused is set after the first invalid or late request; all later input is ignored.
 	refused atomic.Bool
 	// readingSince is the arrival time of the incomplete request's first byte; 0 if there is none.
-	// Bytes that arrive in one read with the end of the previous request are not counted.
 	readingSince atomic.Int64
 	// arrivedAt is the value of readingSince for the latest complete request.
 	arrivedAt atomic.Int64
@@ -31,39 +31,129 @@
 	headerDone atomic.Bool
 	// closeAt is the time at which to close the connection; 0 if it is not to be closed.
 	closeAt atomic.Int64
-	// closing is set when the server responds with Connection: close.
-	closing atomic.Bool
-
 	mu sync.Mutex
-	// pending is the number of complete requests whose handler has not returned.
+	// pending is the number of complete requests whose response was not written.
 	pending int
+	// latest is the turn of the latest complete request; nil before the first one.
+	latest *turn
+	// closing is set when a response says Connection: close; nothing behind it is read.
+	closing bool
+	// lastRequest is set when no further request is read, so the last pending response closes the
+	// connection.
+	lastRequest bool
+	// finalFault is the error response to send after the pending responses; nil if there is none.
+	finalFault *fault
+	// onIdle runs once no request is pending; it is set when the connection has closed.
+	onIdle func()
 }
 
-func newConnection(ctx context.Context, raw *nbio.Conn, cfg *Config) *connection {
-	c := &connection{raw: raw}
-	c.ctx, c.cancel = context.WithCancel(ctx)
-	c.processor = &processor{cfg: cfg, conn: c}
+func newConnection(s *Server, raw *nbio.Conn) *connection {
+	c := &connection{server: s, raw: raw}
+	c.ctx, c.cancel = context.WithCancel(s.baseCtx)
+	c.processor = &processor{cfg: &s.cfg, conn: c}
 	return c
 }
 
-// begin adds a pending request; it returns false if there are too many.
+// begin adds a pending request. It returns false if the request counts as not read: the
+// connection is about to close, or too many requests are pending.
 func (c *connection) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.pending >= maxPipelined {
+	if c.pending >= maxPipelined || c.pending > 0 && c.server.keepAlivesDisabled.Load() {
+		c.lastRequest = true
+	}
+	if c.closing || c.lastRequest {
 		return false
 	}
 	c.pending++
 	c.arrivedAt.Store(c.readingSince.Swap(0))
 	c.headerDone.Store(false)
+	c.lines = lineCheck{}
+	previous := alreadyWritten
+	if c.latest != nil {
+		previous = c.latest.written
+	}
+	c.latest = &turn{conn: c, previous: previous, written: make(chan struct{})}
 	return true
 }
 
-// end removes a pending request.
-func (c *connection) end() {
+// alreadyWritten is the previous turn of a connection's first request.
+var alreadyWritten = closedChannel()
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// execute runs the handler of the latest complete request and writes its response.
+func (c *connection) execute(f func()) bool {
+	c.mu.Lock()
+	t := c.latest
+	c.mu.Unlock()
+	go func() {
+		f()
+		c.end(t)
+	}()
+	return true
+}
+
+// end ends the turn of a request whose response was written.
+func (c *connection) end(t *turn) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.pending--
+	idle, closing, f, onIdle := c.pending == 0, c.closing, c.finalFault, c.onIdle
+	c.mu.Unlock()
+	close(t.written)
+	if onIdle != nil {
+		if idle {
+			onIdle()
+		}
+		return
+	}
+	switch {
+	case !idle:
+		// The engine has set the idle timeout, but other requests are running.
+		_ = c.raw.SetReadDeadline(time.Time{})
+	case closing:
+		// Closing at once would truncate the response: the engine does not wait for its write queue.
+		c.closeAt.Store(int64(timer.Now().Add(lingerTimeout)))
+	case f != nil:
+		c.sendFault(f)
+	}
+}
+
+// closesAfter reports whether the response to the only pending request must say
+// Connection: close; want says that the caller or the server wants to end the connection.
+func (c *connection) closesAfter(want bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lastRequest = c.lastRequest || want
+	if !c.lastRequest || c.pending > 1 || c.finalFault != nil {
+		return false
+	}
+	c.closing = true
+	return true
+}
+
+// afterClose runs f when no request is pending; the connection has closed.
+func (c *connection) afterClose(f func()) {
+	c.mu.Lock()
+	if c.pending > 0 {
+		c.onIdle = f
+		f = nil
+	}
+	c.mu.Unlock()
+	if f != nil {
+		f()
+	}
+}
+
+// ignoresInput reports whether no further request is read.
+func (c *connection) ignoresInput() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing || c.lastRequest
 }
 
 func (c *connection) idle() bool {
@@ -74,10 +164,9 @@
 
 // receive parses data and refuses the connection if there is a fault.
 func (c *connection) receive(data []byte) {
-	if len(data) == 0 || c.refused.Load() || (c.closing.Load() && c.idle()) {
+	if len(data) == 0 || c.refused.Load() || c.ignoresInput() {
 		return
 	}
-	c.readingSince.CompareAndSwap(0, int64(timer.Now()))
 	if f := c.parse(data); f != nil {
 		c.refuse(f)
 	}
@@ -85,9 +174,10 @@
 
 // parse passes data to the parser in pieces, so that each header line is checked first.
 func (c *connection) parse(data []byte) *fault {
-	for len(data) > 0 {
+	for len(data) > 0 && !c.ignoresInput() {
+		c.readingSince.CompareAndSwap(0, int64(timer.Now()))
 		n := c.processor.nextPiece(data)
-		if !c.headerDone.Load() {
+		if !c.lines.ended {
 			if f := c.lines.check(data[:n]); f != nil {
 				return f
 			}
@@ -104,19 +194,27 @@
 	return nil
 }
 
-// refuse sends an error response and keeps the connection open for lingerTimeout, because closing
-// a socket with unread input resets the connection and the caller would lose the response. With
-// requests pending, it closes the connection at once.
+// refuse ends the connection with an error response, after the responses to the pending requests.
 func (c *connection) refuse(f *fault) {
 	if c.refused.Swap(true) {
 		return
 	}
-	if !c.idle() {
-		_ = c.raw.CloseWithError(f)
-		return
+	c.mu.Lock()
+	waits := c.pending > 0
+	if waits {
+		c.finalFault = f
+	}
+	c.mu.Unlock()
+	if !waits {
+		c.sendFault(f)
 	}
+}
+
+// sendFault sends an error response and keeps the connection open for lingerTimeout, because
+// closing a socket with unread input resets the connection and the caller would lose the response.
+func (c *connection) sendFault(f *fault) {
 	_, _ = c.raw.Write(f.response())
-	_ = c.raw.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.closeAt.Store(int64(timer.Now().Add(lingerTimeout)))
 }
 
 // checkTimeouts closes the connection if closeAt has passed, and refuses it if an incomplete
--- a/server/fuzz_test.go
+++ b/server/fuzz_test.go
@@ -25,9 +25,12 @@
 	requests map[string][]servedRequest
 }
 
-// ServeHTTP records a request.
+// ServeHTTP records a request, in the order of the requests on its connection.
 func (rec *recorder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if !AwaitTurn(r.Context()) {
+		return
+	}
 	rec.mu.Lock()
 	rec.requests[r.RemoteAddr] = append(
 		rec.requests[r.RemoteAddr], servedRequest{r.Method, r.RequestURI, string(body)},
--- a/server/lines.go
+++ b/server/lines.go
@@ -17,6 +17,8 @@
 	colonSeen bool
 	// spaces is the number of spaces and tabs in the current line.
 	spaces int
+	// ended is set after the empty line that ends the header.
+	ended bool
 }
 
 // check checks the next bytes of a header; it returns nil if they are valid.
@@ -28,7 +30,7 @@
 				return malformedLine()
 			}
 			// An empty line ends the header, or precedes the request line.
-			*l = lineCheck{requestLineDone: l.nonEmpty}
+			*l = lineCheck{requestLineDone: l.nonEmpty, ended: l.requestLineDone && !l.nonEmpty}
 			continue
 		case '\r':
 			continue
@@ -48,7 +50,7 @@
 // nextPiece returns the length of the next piece of data for the parser: a line, or the rest of a
 // body of known length. A piece never extends beyond the end of a header.
 func (p *processor) nextPiece(data []byte) int {
-	if left := p.contentLength - p.bodyBytes; p.conn.headerDone.Load() && left > 0 {
+	if left := p.contentLength - p.bodyBytes; p.conn.lines.ended && left > 0 {
 		return min(left, len(data))
 	}
 	if i := bytes.IndexByte(data, '\n'); i >= 0 {
--- a/server/processor.go
+++ b/server/processor.go
@@ -128,7 +128,6 @@
 		return
 	}
 	if !p.conn.begin() {
-		p.fail(&fault{status: 429, message: "too many pipelined requests"})
 		return
 	}
 	// The handler has its own timeout; the idle timeout must not end a running request.
--- a/server/server.go
+++ b/server/server.go
@@ -89,6 +89,7 @@
 		ServerExecutor:     func(f func()) { go f() },
 		SupportServerOnly:  true,
 	})
+	e.OnRequest = s.prepare
 	e.Engine.OnClose(s.onClose)
 	return e
 }
@@ -144,9 +145,9 @@
 		_ = conn.Close()
 		return
 	}
-	c := newConnection(s.baseCtx, raw, &s.cfg)
+	c := newConnection(s, raw)
 	wrapped := &nbhttp.Conn{Conn: raw}
-	parser := nbhttp.NewParser(wrapped, s.engine, c.processor, false, raw.Execute)
+	parser := nbhttp.NewParser(wrapped, s.engine, c.processor, false, c.execute)
 	wrapped.Parser = parser
 	raw.SetSession(parser)
 	raw.OnData(s.receive)
@@ -170,26 +171,35 @@
 	}
 }
 
-// onClose cancels the contexts of the connection's requests; nbhttp alone would wait for them to
-// finish.
+// onClose cancels the contexts of the connection's requests and frees the parser after them.
 func (s *Server) onClose(raw *nbio.Conn, err error) {
-	s.remove(raw)
-	raw.MustExecute(func() {
-		if parser, ok := raw.Session().(*nbhttp.Parser); ok {
-			parser.CloseAndClean(err)
-		}
-	})
+	clean := func() {
+		raw.MustExecute(func() {
+			if parser, ok := raw.Session().(*nbhttp.Parser); ok {
+				parser.CloseAndClean(err)
+			}
+		})
+	}
+	if c := s.remove(raw); c != nil {
+		c.afterClose(clean)
+		return
+	}
+	clean()
 }
 
-func (s *Server) remove(raw *nbio.Conn) {
-	c, ok := s.conns.LoadAndDelete(raw)
+// remove forgets a connection and cancels its requests; it returns nil if it is not known.
+func (s *Server) remove(raw *nbio.Conn) *connection {
+	v, ok := s.conns.LoadAndDelete(raw)
 	if !ok {
-		return
+		return nil
 	}
 	s.openConns.Add(-1)
-	if conn, ok := c.(*connection); ok {
-		conn.cancel()
+	c, ok := v.(*connection)
+	if !ok {
+		return nil
 	}
+	c.cancel()
+	return c
 }
 
 func (s *Server) closeAll() {
@@ -206,18 +216,6 @@
 	s.keepAlivesDisabled.Store(true)
 }
 
-// deferClose handles the last request of a connection: the response asks the caller to close the
-// connection. It clears r.Close, because nbhttp would close the connection without waiting for its
-// write queue, which truncates the response.
-func (s *Server) deferClose(w http.ResponseWriter, r *http.Request, c *connection) {
-	if !r.Close && !s.keepAlivesDisabled.Load() {
-		return
-	}
-	r.Close = false
-	c.closing.Store(true)
-	w.Header().Set("Connection", "close")
-}
-
 func (s *Server) connectionOf(w http.ResponseWriter) *connection {
 	res, ok := w.(*nbhttp.Response)
 	if !ok {
@@ -232,20 +230,38 @@
 	return c
 }
 
-// serve runs the handler with the connection's context.
+// prepare gives a complete request its context; the engine calls it in the order of the requests.
+func (s *Server) prepare(w http.ResponseWriter, r *http.Request) {
+	c := s.connectionOf(w)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	ctx := withTurn(c.ctx, c.latest)
+	c.mu.Unlock()
+	*r = *r.WithContext(withArrival(ctx, timer.Instant(c.arrivedAt.Load())))
+}
+
+// serve runs the handler and writes its response when it is the request's turn.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	t := turnOf(r.Context())
+	if t == nil {
+		return
+	}
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Done()
-	c := s.connectionOf(w)
-	if c == nil {
+	// nbhttp would close the connection without waiting for its write queue, which truncates the
+	// response.
+	last := r.Close
+	r.Close = false
+	response := &bufferedResponse{header: http.Header{}}
+	s.handler.ServeHTTP(response, r)
+	if !t.await(r.Context()) {
 		return
 	}
-	defer c.end()
-	s.deferClose(w, r, c)
-	s.handler.ServeHTTP(w, r.WithContext(withArrival(c.ctx, timer.Instant(c.arrivedAt.Load()))))
-	_ = c.raw.SetWriteDeadline(time.Now().Add(s.cfg.IdleTimeout))
-	if c.closing.Load() {
-		// Closing at once would truncate the response: the engine does not wait for its write queue.
-		c.closeAt.Store(int64(timer.Now().Add(lingerTimeout)))
+	if t.conn.closesAfter(last || s.keepAlivesDisabled.Load()) {
+		w.Header().Set("Connection", "close")
 	}
+	response.copyTo(w)
+	_ = t.conn.raw.SetWriteDeadline(time.Now().Add(s.cfg.IdleTimeout))
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -210,6 +210,9 @@
 	if q.route == nil {
 		return rejection(http.StatusNotFound, ReasonNoRoute, 0), false
 	}
+	if !q.route.Idempotent() && !server.AwaitTurn(r.Context()) {
+		return Result{Reason: ReasonCallerDisconnected}, false
+	}
 	timeout, ok := s.timeout(r, q, q.route)
 	if !ok {
 		return rejection(http.StatusBadRequest, ReasonMalformed, 0), false
