sharer: let a few holders keep a customer's rate and ask them directly

Change: at most three holders in a region, chosen by rendezvous hashing and spread over the zones. A host without a share asks the nearest live holder when a request waits, then the next one at once; its tokens expire 300 ms after it asked, so what all hosts hold together is bounded, and the total burst is lowered by these 300 ms of the rate. Holders refill each other by turns. Reports of spares are gone from heartbeats. Once no holder had a token, a customer's requests are refused at once, with the time until a token is due as Retry-After.

--- a/announcer/roster.go
+++ b/announcer/roster.go
@@ -127,6 +127,14 @@
 	return *p, true
 }
 
+// Live reports whether a peer's heartbeat has arrived within the timeout.
+func (r *Roster) Live(now timer.Instant, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[name]
+	return ok && p.Live(now, HeartbeatTimeout)
+}
+
 // record keeps a member's heartbeat if it is newer than the last one, and reports whether it is.
 func (r *Roster) record(now timer.Instant, b *messenger.Beat) bool {
 	r.mu.Lock()
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -103,7 +103,6 @@
 	// of the configuration and the host list against the store.
 	verificationTTL time.Duration
 	transfers       transferLog
-	spares          spareTable
 	bounds          atomic.Pointer[platform.Bounds]
 }
 
@@ -185,7 +184,9 @@
 		ColdSlack:        h.settings.Bounds.ColdSlack,
 		MaxShiftFraction: h.settings.Bounds.ShiftMax,
 	})
-	h.sharer = sharer.New(h.self.Name, sharer.Tolerance{
+	h.sharer = sharer.New(sharer.Host{
+		Name: h.self.Name, Zone: h.self.Zone, Region: h.self.Region,
+	}, sharer.Tolerance{
 		Window:         h.settings.Bounds.QuotaWindow(),
 		ExcessFraction: h.settings.Bounds.QuotaExcess,
 		Slack:          h.settings.Bounds.QuotaSlack,
@@ -204,14 +205,14 @@
 		RetryPercent:   int(retryBudgetFraction * 100 * h.settings.Bounds.RetryBudgetRatio),
 		RetryBurst:     int(retryBudgetFraction * h.settings.Bounds.RetryBudgetSlack),
 	}, steerer.Deps{
-		Plans:         h.follower,
-		Selector:      h.selector,
-		Sharer:        h.sharer,
-		RequestTokens: h.requestTokensFor,
-		Isolator:      h.isolator,
-		Sender:        h.sender,
-		Log:           h.log,
-		Stats:         stats,
+		Plans:        h.follower,
+		Selector:     h.selector,
+		Sharer:       h.sharer,
+		RequestToken: h.requestToken,
+		Isolator:     h.isolator,
+		Sender:       h.sender,
+		Log:          h.log,
+		Stats:        stats,
 	})
 	h.registerMetrics()
 	h.announcer, err = announcer.Listen(h.self, h.incarnation, h.roster, peerHandler{h}, h.log)
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -7,6 +7,7 @@
 	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/sharer"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -32,7 +33,6 @@
 			b.Works = append(b.Works, &messenger.Work{Service: name, Demand: n})
 		}
 	}
-	b.Spares = h.spares.nextBatch(h.sharer.Spares(now))
 	for _, s := range h.isolator.Suspects(now) {
 		b.Suspects = append(b.Suspects, s.Encode(now))
 	}
@@ -48,7 +48,6 @@
 	if !ok {
 		return
 	}
-	h.spares.record(now, b.GetHost(), b.GetSpares())
 	d := selector.Demand{Zone: peer.Zone, UpdatedAt: now, Concurrency: map[string]float64{}}
 	for _, w := range b.GetWorks() {
 		d.Concurrency[w.GetService()] = float64(w.GetDemand()) / demandScale
@@ -75,32 +74,39 @@
 	}
 }
 
-// HandleTokenRequest handles a peer's request for tokens: it debits spare tokens, then sends them
-// to the peer.
+// HandleTokenRequest handles a peer's request for tokens: it debits them, then sends them to the
+// peer. A peer with a waiting request gets an answer also if there are none.
 func (p peerHandler) HandleTokenRequest(now timer.Instant, req *messenger.Plea) {
 	h := p.host
 	peer, ok := h.roster.Find(req.GetHost())
 	if !ok {
 		return
 	}
-	n := h.sharer.Debit(now, req.GetCustomer(), req.GetTokens())
-	if n == 0 {
+	g := h.sharer.Debit(now, sharer.TokenRequest{
+		Customer: req.GetCustomer(), Tokens: req.GetTokens(), Waiting: req.GetWait(),
+	})
+	if g.Tokens == 0 && !req.GetWait() {
 		return
 	}
 	h.announcer.Send(peer, &messenger.Datagram{Gift: &messenger.Gift{
 		Host:        h.self.Name,
 		Customer:    req.GetCustomer(),
-		Tokens:      n,
+		Tokens:      g.Tokens,
 		Number:      h.transfers.nextNumber(),
 		Incarnation: h.incarnation,
+		Sent:        req.GetSent(),
+		Wait:        uint32(g.Wait.Milliseconds()),
 	}})
 }
 
 // HandleTokenTransfer credits tokens that a peer sent; duplicates are ignored.
 func (p peerHandler) HandleTokenTransfer(now timer.Instant, g *messenger.Gift) {
-	if p.host.transfers.accept(g) {
-		p.host.sharer.Credit(now, g.GetCustomer(), g.GetTokens())
+	if !p.host.transfers.accept(g) {
+		return
 	}
+	p.host.sharer.Credit(now, timer.Instant(g.GetSent()), g.GetCustomer(), sharer.Grant{
+		Tokens: g.GetTokens(), Wait: time.Duration(g.GetWait()) * time.Millisecond,
+	})
 }
 
 // maxProcesses limits the processes per host whose latest transfer is kept. A duplicate datagram
--- a/conductor/sink.go
+++ b/conductor/sink.go
@@ -5,6 +5,7 @@
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/sharer"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -17,7 +18,7 @@
 func (s sink) UsePlan(p *planner.Plan) {
 	h := s.host
 	h.selector.SetServices(p.Services())
-	h.sharer.Configure(timer.Now(), p.Customers(), h.hostNames())
+	h.sharer.Configure(timer.Now(), p.Customers(), h.tokenHosts())
 	h.setConnectionLimits(p)
 }
 
@@ -43,13 +44,10 @@
 	}
 	h.log.Log(eventHostsChanged, logger.F("joined", joined), logger.F("left", left),
 		logger.F("hosts", h.hostCount()))
-	for _, name := range left {
-		h.spares.removePeer(name)
-	}
 	h.selector.SetHosts(h.hostNames())
 	h.steerer.SetHostCount(h.hostCount())
 	if p := h.follower.Plan(); p != nil {
-		h.sharer.Configure(timer.Now(), p.Customers(), h.hostNames())
+		h.sharer.Configure(timer.Now(), p.Customers(), h.tokenHosts())
 		h.setConnectionLimits(p)
 	}
 }
@@ -59,6 +57,16 @@
 	s.host.announcer.SendHeartbeatEarly(timer.Now())
 }
 
+// tokenHosts returns the registered hosts, which share the customers' rates.
+func (h *Host) tokenHosts() []sharer.Host {
+	members := h.roster.Members()
+	hosts := make([]sharer.Host, 0, len(members))
+	for _, m := range members {
+		hosts = append(hosts, sharer.Host{Name: m.Name, Zone: m.Zone, Region: m.Region})
+	}
+	return hosts
+}
+
 func (h *Host) hostNames() []string {
 	members := h.roster.Members()
 	names := make([]string, 0, len(members))
--- a/conductor/tasks.go
+++ b/conductor/tasks.go
@@ -29,8 +29,6 @@
 	// deadPeerCheckInterval is how often this is checked.
 	deadPeerTimeout       = 20 * time.Second
 	deadPeerCheckInterval = 4 * time.Second
-	// maxTokenPeers is the maximum number of peers that a request for tokens is split among.
-	maxTokenPeers = 3
 	// demandScale converts demand to the unit of heartbeats, a thousandth of a request.
 	demandScale = 1000
 )
@@ -204,31 +202,31 @@
 	}
 }
 
-// requestTokensFor immediately requests tokens for a customer whose request waits for one.
-func (h *Host) requestTokensFor(customer string) {
-	now := timer.Now()
-	if req, ok := h.sharer.TokenRequestFor(now, customer); ok {
-		h.sendTokenRequests(now, req)
-	}
+// requestToken asks another host for a token that a caller's request waits for; it returns false
+// if that host isn't live.
+func (h *Host) requestToken(customer string, attempt int) bool {
+	req, ok := h.sharer.TokenRequestFor(customer, attempt)
+	return ok && h.sendTokenRequests(timer.Now(), req)
 }
 
-// sendTokenRequests splits a request among the live peers with the most spare tokens. It asks
-// several because their reported numbers may be outdated.
-func (h *Host) sendTokenRequests(now timer.Instant, req sharer.TokenRequest) {
-	peers := make([]announcer.Peer, 0, maxTokenPeers)
-	for _, name := range h.spares.peersBySpare(now, req.Customer) {
-		p, ok := h.roster.Find(name)
-		if ok && p.Live(now, announcer.HeartbeatTimeout) && len(peers) < maxTokenPeers {
+// sendTokenRequests divides a request among its live peers; it returns false if there is none.
+func (h *Host) sendTokenRequests(now timer.Instant, req sharer.TokenRequest) bool {
+	peers := make([]announcer.Peer, 0, len(req.Peers))
+	for _, name := range req.Peers {
+		if p, ok := h.roster.Find(name); ok && h.roster.Live(now, name) {
 			peers = append(peers, p)
 		}
 	}
 	for _, p := range peers {
-		tokens := req.Tokens/uint32(len(peers)) + 1
-		h.spares.deduct(p.Name, req.Customer, tokens)
 		h.announcer.Send(p, &messenger.Datagram{Plea: &messenger.Plea{
-			Host: h.self.Name, Customer: req.Customer, Tokens: tokens,
+			Host:     h.self.Name,
+			Customer: req.Customer,
+			Tokens:   (req.Tokens + uint32(len(peers)) - 1) / uint32(len(peers)),
+			Wait:     req.Waiting,
+			Sent:     int64(now),
 		}})
 	}
+	return len(peers) > 0
 }
 
 // sleep waits for d. It returns false if ctx ends first.
--- a/sharer/doc.go
+++ b/sharer/doc.go
@@ -1,4 +1,4 @@
-// Package sharer limits customers' request rates: each host has a token bucket with a share of a
-// customer's rate and burst, and hosts pass spare tokens to each other, so that all hosts together
-// stay within the rate, the burst and the configured tolerance.
+// Package sharer limits customers' request rates: a few hosts, the holders, have token buckets with
+// shares of a customer's rate and burst, and the other hosts request tokens from them, so that all
+// hosts together stay within the rate, the burst and the configured tolerance.
 package sharer
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -2,31 +2,34 @@
 
 import (
 	"math"
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
 const (
-	// demandHorizon is the period whose expected demand a host's tokens should cover. With fewer
-	// tokens, the host requests some from others; it gives away only tokens beyond that demand.
+	// demandHorizon is the period whose expected demand a holder's tokens should cover. With fewer
+	// tokens, it requests some from others; it gives them only tokens beyond that demand.
 	demandHorizon = 500 * time.Millisecond
-	// minTokenRequestInterval is the minimum time between two requests for one customer's tokens.
+	// lotHorizon is the period whose expected demand a host without a share requests at once.
+	lotHorizon = 200 * time.Millisecond
+	// minTokenRequestInterval is the minimum time between two requests of a holder that refill its
+	// bucket.
 	minTokenRequestInterval = 60 * time.Millisecond
 	// demandTimeConstant is the time constant of the moving average of the demand.
 	demandTimeConstant = time.Second
-	// reserveFraction is the fraction of a bucket's capacity that a host never gives away.
+	// reserveFraction is the fraction of a bucket's capacity that a holder keeps when another one
+	// refills its bucket.
 	reserveFraction = 0.25
 	// minShareBurst is the minimum burst of a share: with less, a host could not always serve a
 	// request and give another host a token.
 	minShareBurst = 2.5
-	// noShareBurst is the burst of a host without a share.
-	noShareBurst = 1
+	// maxExhausted is the longest time for which no holder is asked after none had a token.
+	maxExhausted = 500 * time.Millisecond
+	// maxRefillPeers is the number of other holders that are asked to refill a bucket, by turns.
+	maxRefillPeers = 2
 )
 
 // Reason is the result of an admission check.
@@ -37,22 +40,28 @@
 	ReasonAdmitted Reason = "admitted"
 	// ReasonRate means that this host has no token for the customer.
 	ReasonRate Reason = "rate"
+	// ReasonExhausted means that no host had a token for the customer a moment ago.
+	ReasonExhausted Reason = "exhausted"
 )
 
-// Spare is the number of a customer's tokens that a host can give away.
-type Spare struct {
+// TokenRequest is a request to other holders for a customer's tokens.
+type TokenRequest struct {
 	// Customer is the customer's name.
 	Customer string
 	// Tokens is the number of tokens; one token admits one request.
 	Tokens uint32
+	// Waiting means that a request of a caller waits for a token; otherwise a bucket is refilled.
+	Waiting bool
+	// Peers are the names of the hosts to ask; the tokens are divided among them.
+	Peers []string
 }
 
-// TokenRequest is a request to other hosts for a customer's tokens.
-type TokenRequest struct {
-	// Customer is the customer's name.
-	Customer string
-	// Tokens is the number of tokens; one token admits one request.
+// Grant is a holder's answer to a request for tokens.
+type Grant struct {
+	// Tokens is the number of tokens, which may be 0.
 	Tokens uint32
+	// Wait is the time until the holder has a token, if Tokens is 0.
+	Wait time.Duration
 }
 
 // Tolerance is how far a customer's requests in a window may exceed rate × Window + burst.
@@ -75,15 +84,22 @@
 	return toleranceFraction * (t.Slack + t.ExcessFraction*(rate*t.Window.Seconds()+burst))
 }
 
+// totalBurst returns the burst of all holders together. Tokens in lots come on top of it: those of
+// the last LotTTL.
+func (t Tolerance) totalBurst(rate, burst float64) float64 {
+	total := burst + t.extraBurst(rate, burst) - rate*LotTTL.Seconds()
+	return max(total, 1)
+}
+
 // Sharer holds this host's token buckets; it is safe for concurrent use.
 //
-// A customer's rate and total burst, which is the burst plus extraBurst, are divided into equal
-// shares: one per host, or fewer for a customer with a small burst. Hosts pass tokens to each
-// other: the giver debits them before the receiver credits them, and a new process starts without
-// tokens. So all hosts together never exceed the rate and the total burst, and a lost message only
-// loses tokens.
+// A customer's rate and total burst are divided into equal shares among a few hosts, the holders.
+// The other hosts request tokens from them when a request waits, and holders refill each other. The
+// giver debits tokens before the receiver credits them, and a new process starts without any. So
+// all hosts together never exceed the rate and the total burst, and a lost message only loses
+// tokens.
 type Sharer struct {
-	host      string
+	self      Host
 	tolerance Tolerance
 
 	mu         sync.Mutex
@@ -91,24 +107,10 @@
 	buckets    map[string]*bucket
 }
 
-type bucket struct {
-	// noShare is set if this host has no share of the customer's rate.
-	noShare   bool
-	rate      float64
-	burst     float64
-	tokens    float64
-	accruedAt timer.Instant
-	// demand is the moving average of the arrivals, in requests per second.
-	demand      float64
-	requestedAt timer.Instant
-	arrivals    float64
-	measuredAt  timer.Instant
-}
-
 // New returns a sharer without tokens; none accrue before AccrueFrom is called.
-func New(host string, t Tolerance) *Sharer {
+func New(self Host, t Tolerance) *Sharer {
 	return &Sharer{
-		host: host, tolerance: t, accrueFrom: math.MaxInt64, buckets: map[string]*bucket{},
+		self: self, tolerance: t, accrueFrom: math.MaxInt64, buckets: map[string]*bucket{},
 	}
 }
 
@@ -130,9 +132,9 @@
 	return !now.Before(s.accrueFrom)
 }
 
-// Configure sets the customers' limits and the names of all hosts that share them. A bucket that
-// exists keeps its tokens, up to the new burst.
-func (s *Sharer) Configure(now timer.Instant, customers []planner.Customer, hosts []string) {
+// Configure sets the customers' limits and the registered hosts. A bucket that exists keeps its
+// tokens, up to the new burst.
+func (s *Sharer) Configure(now timer.Instant, customers []planner.Customer, hosts []Host) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	buckets := make(map[string]*bucket, len(customers))
@@ -143,44 +145,28 @@
 		}
 		b, ok := s.buckets[c.Name]
 		if !ok {
-			b = &bucket{accruedAt: now, measuredAt: now}
+			b = &bucket{accruedAt: now, measuredAt: now, answered: make(chan struct{})}
 		}
 		s.accrue(now, b)
-		burst := max(c.Burst, 1)
-		s.assignShare(b, c.Name, c.Rate, burst+s.tolerance.extraBurst(c.Rate, burst), hosts)
+		s.assignShare(b, c, hosts)
 		b.tokens = min(b.tokens, b.burst)
 		buckets[c.Name] = b
 	}
 	s.buckets = buckets
 }
 
-// assignShare sets the bucket's share of a customer's rate and of the total burst. The hosts with
-// the lowest rendezvous hashes have the shares. On a host without a share no tokens accrue; it
-// gets them from other hosts when a request waits.
-func (s *Sharer) assignShare(
-	b *bucket, customer string, rate, totalBurst float64, hosts []string,
-) {
-	n := max(len(hosts), 1)
-	shares := min(max(int(totalBurst/minShareBurst), 1), n)
-	b.noShare = shares < n && s.rank(customer, hosts) >= shares
-	if b.noShare {
-		b.rate, b.burst = 0, noShareBurst
-		return
-	}
-	b.rate = rate / float64(shares)
-	b.burst = totalBurst / float64(shares)
-}
-
-// rank returns the number of hosts with a lower rendezvous hash for the customer than this one.
-func (s *Sharer) rank(customer string, hosts []string) int {
-	ownHash := xxhash.Sum64String(customer + "\x00" + s.host)
-	rank := 0
-	for _, name := range hosts {
-		if name != s.host && xxhash.Sum64String(customer+"\x00"+name) < ownHash {
-			rank++
-		}
+// assignShare sets the holders of a customer and this host's share of the rate and of the burst;
+// without a share it is 0.
+func (s *Sharer) assignShare(b *bucket, c *planner.Customer, hosts []Host) {
+	total := s.tolerance.totalBurst(c.Rate, max(c.Burst, 1))
+	list := holders(c.Name, hosts, max(int(total/minShareBurst), 1))
+	b.peers = byDistance(s.self, list)
+	b.holder = len(b.peers) < len(list) || len(list) == 0
+	b.rate, b.burst = 0, 0
+	if b.holder {
+		shares := float64(max(len(list), 1))
+		b.rate, b.burst = c.Rate/shares, total/shares
 	}
-	return rank
 }
 
 // Admit counts a request of the customer and spends one token for it.
@@ -208,41 +194,44 @@
 
 func (s *Sharer) spend(now timer.Instant, b *bucket) Reason {
 	s.accrue(now, b)
-	if b.tokens < 1 {
+	switch {
+	case b.tokens >= 1:
+		b.tokens--
+	case b.lots.spend(now):
+	case now.Before(b.exhaustedUntil):
+		return ReasonExhausted
+	default:
 		return ReasonRate
 	}
-	b.tokens--
 	return ReasonAdmitted
 }
 
-// RetryAfter returns the time from the last refusal until the customer's next token accrues; 0 if
-// no tokens accrue on this host.
-func (s *Sharer) RetryAfter(customer string) time.Duration {
+// MarkExhausted records that no holder had a token for the customer; for a moment Admit returns
+// ReasonExhausted in place of ReasonRate.
+func (s *Sharer) MarkExhausted(now timer.Instant, customer string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.buckets[customer]
-	if !ok || b.rate <= 0 {
-		return 0
+	if b, ok := s.buckets[customer]; ok {
+		b.exhaustedUntil = min(max(b.nextTokenAt, now.Add(b.wait())), now.Add(maxExhausted))
 	}
-	return time.Duration(max(1-b.tokens, 0) / b.rate * float64(time.Second))
 }
 
-// Spares lists the tokens that this host can give away for each customer with a limit, sorted by
-// customer.
-func (s *Sharer) Spares(now timer.Instant) []Spare {
+// RetryAfter returns the time until a token of the customer is expected; 0 if that is unknown.
+func (s *Sharer) RetryAfter(now timer.Instant, customer string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	spares := make([]Spare, 0, len(s.buckets))
-	for name, b := range s.buckets {
-		s.accrue(now, b)
-		spares = append(spares, Spare{Customer: name, Tokens: uint32(b.spare())})
+	b, ok := s.buckets[customer]
+	if !ok {
+		return 0
+	}
+	if b.holder {
+		return b.wait()
 	}
-	sort.Slice(spares, func(i, j int) bool { return spares[i].Customer < spares[j].Customer })
-	return spares
+	return max(b.nextTokenAt.Sub(now), 0)
 }
 
 // TokenRequests updates the average demand and returns a request for each customer whose tokens
-// don't cover the expected demand.
+// on this holder don't cover the expected demand.
 func (s *Sharer) TokenRequests(now timer.Instant) []TokenRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -250,47 +239,83 @@
 	for name, b := range s.buckets {
 		s.accrue(now, b)
 		b.updateDemand(now)
-		if b.noShare || b.tokens >= min(b.demand*demandHorizon.Seconds(), b.burst) {
+		if !b.holder || b.tokens >= min(b.demand*demandHorizon.Seconds(), b.burst) {
 			continue
 		}
-		if n, ok := b.request(now); ok {
-			requests = append(requests, TokenRequest{Customer: name, Tokens: n})
+		if req, ok := b.refill(now); ok {
+			req.Customer = name
+			requests = append(requests, req)
 		}
 	}
 	return requests
 }
 
-// TokenRequestFor returns a request for the customer's tokens. It reports false if there is no
-// limit, the bucket is full or the last request is too recent.
-func (s *Sharer) TokenRequestFor(now timer.Instant, customer string) (TokenRequest, bool) {
+// TokenRequestFor returns a request for the token that a caller's request waits for. The first
+// attempt asks the nearest holder, each further one the next. ok is false if there is no limit or
+// no other holder.
+func (s *Sharer) TokenRequestFor(customer string, attempt int) (req TokenRequest, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.buckets[customer]
-	if !ok {
+	if !ok || len(b.peers) == 0 {
 		return TokenRequest{}, false
 	}
-	s.accrue(now, b)
-	n, ok := b.request(now)
-	return TokenRequest{Customer: customer, Tokens: n}, ok
+	peer := b.peers[attempt%len(b.peers)]
+	return TokenRequest{
+		Customer: customer,
+		Tokens:   1 + uint32(b.demand*lotHorizon.Seconds()),
+		Waiting:  true,
+		Peers:    []string{peer.Name},
+	}, true
 }
 
-// Debit subtracts up to the wanted number of tokens for another host and returns how many.
-func (s *Sharer) Debit(now timer.Instant, customer string, wanted uint32) uint32 {
+// Holders returns the number of other hosts that a request for tokens may go to.
+func (s *Sharer) Holders(customer string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.buckets[customer]
+	if b, ok := s.buckets[customer]; ok {
+		return len(b.peers)
+	}
+	return 0
+}
+
+// Answered returns a channel that is closed when another host answers a request for the
+// customer's tokens; nil if there is no limit.
+func (s *Sharer) Answered(customer string) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b, ok := s.buckets[customer]; ok {
+		return b.answered
+	}
+	return nil
+}
+
+// Debit subtracts up to the wanted number of tokens for another host. A waiting request gets what
+// there is; a refill gets only tokens beyond this host's expected demand and its reserve.
+func (s *Sharer) Debit(now timer.Instant, req TokenRequest) Grant {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.buckets[req.Customer]
 	if !ok {
-		return 0
+		return Grant{}
 	}
 	s.accrue(now, b)
-	n := min(wanted, uint32(b.spare()))
+	available := b.spare()
+	if req.Waiting {
+		available = b.tokens
+		b.arrivals++
+	}
+	n := min(req.Tokens, uint32(max(available, 0)))
 	b.tokens -= float64(n)
-	return n
+	if n == 0 {
+		return Grant{Wait: b.wait()}
+	}
+	return Grant{Tokens: n}
 }
 
-// Credit adds tokens that another host has debited. Tokens beyond the burst are lost, as are
-// all that arrive before tokens accrue.
-func (s *Sharer) Credit(now timer.Instant, customer string, tokens uint32) {
+// Credit adds the tokens of a holder's answer to a request that was sent at requestedAt. Tokens
+// beyond the burst are lost, as are all that arrive before tokens accrue.
+func (s *Sharer) Credit(now, requestedAt timer.Instant, customer string, g Grant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.buckets[customer]
@@ -298,7 +323,14 @@
 		return
 	}
 	s.accrue(now, b)
-	b.tokens = min(b.tokens+float64(tokens), b.burst)
+	if b.holder {
+		b.tokens = min(b.tokens+float64(g.Tokens), b.burst)
+	} else {
+		b.lots.add(now, requestedAt, g.Tokens)
+	}
+	b.expect(now, g)
+	close(b.answered)
+	b.answered = make(chan struct{})
 }
 
 func (s *Sharer) accrue(now timer.Instant, b *bucket) {
@@ -312,33 +344,3 @@
 	b.tokens = min(b.tokens+now.Sub(b.accruedAt).Seconds()*b.rate, b.burst)
 	b.accruedAt = now
 }
-
-// request returns the number of tokens to request from other hosts.
-func (b *bucket) request(now timer.Instant) (uint32, bool) {
-	n := uint32(math.Ceil(b.burst - b.tokens))
-	if n == 0 || now.Sub(b.requestedAt) < minTokenRequestInterval {
-		return 0, false
-	}
-	b.requestedAt = now
-	return n, true
-}
-
-// spare returns the tokens that exceed both the expected demand and the reserve.
-func (b *bucket) spare() float64 {
-	if b.noShare {
-		return 0
-	}
-	return max(b.tokens-max(b.demand*demandHorizon.Seconds(), reserveFraction*b.burst), 0)
-}
-
-// updateDemand adds the arrivals since the last update to the moving average of the demand.
-func (b *bucket) updateDemand(now timer.Instant) {
-	elapsed := now.Sub(b.measuredAt)
-	if elapsed <= 0 {
-		return
-	}
-	weight := 1 - math.Exp(-elapsed.Seconds()/demandTimeConstant.Seconds())
-	b.demand += weight * (b.arrivals/elapsed.Seconds() - b.demand)
-	b.arrivals = 0
-	b.measuredAt = now
-}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -36,11 +36,6 @@
 	initialBudgetPercent = 25
 	// retryMargin is the minimum time that must remain until the deadline for a retry.
 	retryMargin = 20 * time.Millisecond
-	// tokenPollInterval and maxTokenPolls are the interval and number of polls for a token.
-	tokenPollInterval = 30 * time.Millisecond
-	maxTokenPolls     = 5
-	// maxTokenWaiters is the maximum number of requests that wait for a token.
-	maxTokenWaiters = 64
 	// callerRetryPercent is a percentage of the longest timeout that callers have set on a route; a
 	// shorter timeout indicates a retry by the caller, which has less time left.
 	callerRetryPercent = 99
@@ -65,8 +60,9 @@
 	Selector *selector.Selector
 	// Sharer enforces the customers' rate limits.
 	Sharer *sharer.Sharer
-	// RequestTokens requests rate limit tokens of a customer from the other hosts.
-	RequestTokens func(customer string)
+	// RequestToken asks another host for a customer's rate limit token, a different one for each
+	// attempt. It returns false if that host isn't live.
+	RequestToken func(customer string, attempt int) bool
 	// Isolator quarantines requests that are suspected of crashing targets.
 	Isolator *isolator.Isolator
 	// Sender sends requests to targets.
@@ -98,7 +94,7 @@
 	deps         Deps
 	budget       *retrier.Retrier
 	inFlight     atomic.Int64
-	tokenWaiters atomic.Int64
+	tokenWaiters waiterCount
 	stopping     atomic.Bool
 
 	mu              sync.Mutex
@@ -319,39 +315,13 @@
 	if q.customer == nil {
 		return rejection(http.StatusUnauthorized, ReasonUnknownKey, 0), false
 	}
-	if !s.takeToken(ctx, now, q.customer.Name) {
+	if !s.takeToken(ctx, now, q) {
 		return rejection(http.StatusTooManyRequests, ReasonRateLimit,
-			max(s.deps.Sharer.RetryAfter(q.customer.Name), shortRetryAfter)), false
+			max(s.deps.Sharer.RetryAfter(timer.Now(), q.customer.Name), shortRetryAfter)), false
 	}
 	return s.checkQuarantine(q)
 }
 
-// takeToken takes one token from the customer's token bucket. If the bucket is empty, it requests
-// tokens from the other hosts and polls for a short time.
-func (s *Steerer) takeToken(ctx context.Context, now timer.Instant, customer string) bool {
-	if s.deps.Sharer.Admit(now, customer) == sharer.ReasonAdmitted {
-		return true
-	}
-	defer s.tokenWaiters.Add(-1)
-	if s.tokenWaiters.Add(1) > maxTokenWaiters {
-		return false
-	}
-	s.deps.RequestTokens(customer)
-	ticker := time.NewTicker(tokenPollInterval)
-	defer ticker.Stop()
-	for range maxTokenPolls {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-ticker.C:
-		}
-		if s.deps.Sharer.AdmitWaiting(timer.Now(), customer) == sharer.ReasonAdmitted {
-			return true
-		}
-	}
-	return false
-}
-
 // keysFresh reports whether the API keys and the host list, by which rate limits are shared, are
 // fresh enough to serve requests that need a key.
 func (s *Steerer) keysFresh(now timer.Instant) bool {
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -162,15 +162,16 @@
 		})
 	}
 	s.SetTargets(timer.Now(), list)
-	shares := sharer.New("h", sharer.Tolerance{})
+	self := sharer.Host{Name: "h", Zone: "a1", Region: "a"}
+	shares := sharer.New(self, sharer.Tolerance{})
 	plans := &fakePlans{plan: testPlan()}
-	shares.Configure(timer.Now(), plans.plan.Customers(), []string{"h"})
+	shares.Configure(timer.Now(), plans.plan.Customers(), []sharer.Host{self})
 	shares.AccrueFrom(timer.Now())
 	w := &fixture{plans: plans}
 	w.steerer = New(Config{
 		MaxStaleness: 4 * time.Second, LastRegistered: timer.Now, RetryPercent: 20, RetryBurst: 50,
 	}, Deps{
-		Plans: plans, Selector: s, Sharer: shares, RequestTokens: func(string) {}, Isolator: isolator.New(),
+		Plans: plans, Selector: s, Sharer: shares, RequestToken: func(string, int) bool { return true }, Isolator: isolator.New(),
 		Sender: sender, Log: logger.New(io.Discard, logger.FormatJSON, log.FatalLevel), Stats: NewStats(),
 	})
 	return w
