announcer: exchange heartbeats over a sparse graph in large fleets

Change: in fleets of more than 40 hosts the hosts of a zone form a mesh; two hosts of each zone exchange heartbeats with two of each other zone of the region, and two of each region with two of each other region (topology, a pure function of the registered and the live hosts; roles go round). Digests of zones (who is live, who serves, demand) are passed on with their ages. The store is read by the first host of each region, other hosts fall back later by the hops that a verification takes. Quarantines and leaving targets are told on. The echoes of a heartbeat are read before its content is built, so that a pause in between can't make a summary look newer; a peer that was never heard is unregistered; demand of hosts that are gone is forgotten; a host whose first read fails fetches from a peer. The timer service sleeps until the next tick instead of waking 100 times a second.

--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -18,6 +18,10 @@
 const (
 	// HeartbeatInterval is the interval between heartbeats.
 	HeartbeatInterval = 400 * time.Millisecond
+	// sparseInterval is that interval in a large fleet, where each heartbeat also carries digests.
+	sparseInterval = 500 * time.Millisecond
+	// TickInterval is the interval at which Announce checks whether a heartbeat is due.
+	TickInterval = 100 * time.Millisecond
 	// HeartbeatTimeout is how long a host counts as live after a heartbeat; several may be lost.
 	HeartbeatTimeout = 5 * HeartbeatInterval
 	// maxDatagramBytes is the maximum size of a received datagram.
@@ -32,8 +36,12 @@
 
 // Handler provides the content of heartbeats and handles received messages.
 type Handler interface {
-	// Heartbeat returns this host's heartbeat without host, incarnation and sequence.
+	// Heartbeat returns this host's heartbeat without host, incarnation, sequence and digests.
 	Heartbeat(now timer.Instant) *messenger.Beat
+	// ZoneDemand returns the demand of all hosts of this host's availability zone.
+	ZoneDemand(now timer.Instant) []*messenger.Work
+	// HandleDigest handles a digest of another availability zone that is newer than the last one.
+	HandleDigest(now timer.Instant, zone string, d *messenger.Digest)
 	// HandleHeartbeat handles a heartbeat of a peer that is newer than the last one. echoSentAt is
 	// when this host sent the heartbeat that b echoes, so the peer sent b later; 0 if unknown.
 	HandleHeartbeat(now, echoSentAt timer.Instant, b *messenger.Beat)
@@ -108,31 +116,87 @@
 	}
 }
 
-// Announce sends a heartbeat at each tick until ctx ends, and logs which peers are live.
+// Announce sends heartbeats until ctx ends, and logs which peers are live. The ticks' period must be
+// TickInterval.
 func (a *Announcer) Announce(ctx context.Context, ticks *timer.Subscription) error {
+	var due timer.Instant
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case t := <-ticks.C():
+			if t.At < due {
+				continue
+			}
+			due = max(due, t.At.Add(-TickInterval)).Add(a.interval())
 			a.SendHeartbeat(t.At)
 			a.logLiveness(t.At)
 		}
 	}
 }
 
-// SendHeartbeat sends a heartbeat to all peers now.
+// interval returns the interval between two heartbeats.
+func (a *Announcer) interval() time.Duration {
+	if a.roster.Sparse() {
+		return sparseInterval
+	}
+	return HeartbeatInterval
+}
+
+// SendHeartbeat sends a heartbeat now.
 func (a *Announcer) SendHeartbeat(now timer.Instant) {
-	b := a.handler.Heartbeat(now)
+	a.sendHeartbeat(now, timer.Now, a.sendBeat)
+}
+
+// sendHeartbeat passes a heartbeat for each recipient to send, which must not keep it. The echoes
+// are read before the content is built: the other way round, a pause in between would make the
+// content look newer than it is.
+func (a *Announcer) sendHeartbeat(
+	now timer.Instant, clock func() timer.Instant, send func(to Member, b *messenger.Beat),
+) {
+	sequence := a.nextSequence(now)
+	t := topology{
+		self: a.self, members: a.roster.Members(),
+		live: func(name string) bool { return a.roster.Live(now, name) },
+	}
+	recipients := t.recipients(sequence)
+	echoes := a.roster.echoes(recipients)
+	builtAt := clock()
+	b := a.handler.Heartbeat(builtAt)
 	b.Host = a.self.Name
 	b.Incarnation = a.incarnation
-	b.Sequence = a.nextSequence(now)
-	for _, p := range a.roster.Peers() {
-		b.Echo = p.Heartbeat.GetSequence()
-		if data, ok := a.encode(&messenger.Datagram{Beat: b}); ok {
-			a.send(p.PeerAddress, data)
+	b.Sequence = sequence
+	digests := a.digests(builtAt, &t, b, sequence)
+	for i, to := range recipients {
+		b.Echo = echoes[i]
+		b.Digests = digests[to.link]
+		send(to.Member, b)
+	}
+}
+
+func (a *Announcer) sendBeat(to Member, b *messenger.Beat) {
+	if data, ok := a.encode(&messenger.Datagram{Beat: b}); ok {
+		a.send(to.PeerAddress, data)
+	}
+}
+
+// digests returns the digests to send over each kind of link.
+func (a *Announcer) digests(
+	now timer.Instant, t *topology, b *messenger.Beat, round uint64,
+) map[link][]*messenger.Digest {
+	if !t.sparse() {
+		return nil
+	}
+	own := a.roster.ownDigest(now, a.self, b.GetReady() && !b.GetLeaving())
+	own.Works = a.handler.ZoneDemand(now)
+	lists := map[link][]*messenger.Digest{}
+	for _, l := range []link{linkMesh, linkZone, linkRegion} {
+		lists[l] = a.roster.relayedDigests(now, a.self, l, round)
+		if l != linkMesh {
+			lists[l] = append(lists[l], own)
 		}
 	}
+	return lists
 }
 
 // SendHeartbeatEarly sends a heartbeat before the next tick, unless one was just sent.
@@ -202,9 +266,7 @@
 	now := timer.Now()
 	switch {
 	case d.GetBeat() != nil:
-		if a.roster.record(now, d.GetBeat()) {
-			a.handler.HandleHeartbeat(now, a.echoSentAt(d.GetBeat().GetEcho()), d.GetBeat())
-		}
+		a.handleHeartbeat(now, d.GetBeat())
 	case d.GetPlea() != nil:
 		a.handler.HandleTokenRequest(now, d.GetPlea())
 	case d.GetGift() != nil:
@@ -212,10 +274,25 @@
 	}
 }
 
+func (a *Announcer) handleHeartbeat(now timer.Instant, b *messenger.Beat) {
+	digests := b.GetDigests()
+	b.Digests = nil
+	if !a.roster.record(now, b) {
+		return
+	}
+	a.handler.HandleHeartbeat(now, a.echoSentAt(b.GetEcho()), b)
+	p, _ := a.roster.Find(b.GetHost())
+	for _, d := range digests {
+		if zone, newer := a.roster.recordDigest(now, d, entryOf(a.self, p.Member, d)); newer {
+			a.handler.HandleDigest(now, zone, d)
+		}
+	}
+}
+
 // logLiveness logs each peer that has become live or is lost.
 func (a *Announcer) logLiveness(now timer.Instant) {
 	for _, p := range a.roster.Peers() {
-		live := p.Live(now, HeartbeatTimeout)
+		live := a.roster.Live(now, p.Name)
 		if live == a.live[p.Name] {
 			continue
 		}
@@ -225,6 +302,6 @@
 			event = eventPeerLive
 		}
 		a.log.Log(event, logger.F("peer", p.Name), logger.F("zone", p.Zone),
-			logger.F("silent_ms", now.Sub(p.HeartbeatAt).Milliseconds()))
+			logger.F("silent_ms", now.Sub(p.SeenAt).Milliseconds()))
 	}
 }
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestRosterAcceptsOnlyNewerHeartbeatsOfMembers(t *testing.T) {
-	r := NewRoster("self")
+	r := NewRoster(Member{Name: "self"})
 	joined, _ := r.Replace(1, []Member{{Name: "self"}, {Name: "a"}})
 	if len(joined) != 1 || joined[0] != "a" {
 		t.Fatal(joined)
@@ -31,7 +31,7 @@
 // TestLowerIncarnationIsAcceptedAfterTimeout: a process that starts after the system clock was set
 // back has a lower incarnation than the one before it, and must still become live.
 func TestLowerIncarnationIsAcceptedAfterTimeout(t *testing.T) {
-	r := NewRoster("self")
+	r := NewRoster(Member{Name: "self"})
 	r.Replace(1, []Member{{Name: "a"}})
 	r.record(10, &messenger.Beat{Host: "a", Incarnation: 9, Sequence: 70})
 	next := &messenger.Beat{Host: "a", Incarnation: 8, Sequence: 1}
@@ -93,7 +93,7 @@
 
 func listen(t *testing.T, self Member) *Announcer {
 	t.Helper()
-	a, err := Listen(self, 1, NewRoster(self.Name), nil, nil)
+	a, err := Listen(self, 1, NewRoster(self), nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/announcer/roster.go
+++ b/announcer/roster.go
@@ -30,6 +30,9 @@
 	HeartbeatAt timer.Instant
 	// Heartbeat is the latest heartbeat; nil before the first one.
 	Heartbeat *messenger.Beat
+	// SeenAt is when the host was last known to be live, by a heartbeat or a digest, or when it was
+	// first listed.
+	SeenAt timer.Instant
 }
 
 // Live reports whether a heartbeat has arrived within the timeout.
@@ -44,18 +47,25 @@
 
 // Roster holds the registered hosts; it is safe for concurrent use.
 type Roster struct {
-	self string
-
-	mu         sync.Mutex
-	members    []Member
-	peers      map[string]*Peer
+	self     string
+	selfZone string
+
+	mu      sync.Mutex
+	members []Member
+	peers   map[string]*Peer
+	// byZone groups the members by the hash of their zone's name.
+	byZone map[uint32]*zoneMembers
+	// zones holds what digests tell of other availability zones.
+	zones      map[string]*zoneState
 	readAt     timer.Instant
 	selfListed bool
 }
 
-// NewRoster returns a roster without members for the host named self.
-func NewRoster(self string) *Roster {
-	return &Roster{self: self, peers: map[string]*Peer{}}
+// NewRoster returns a roster without members for the host self.
+func NewRoster(self Member) *Roster {
+	return &Roster{
+		self: self.Name, selfZone: self.Zone, peers: map[string]*Peer{}, zones: map[string]*zoneState{},
+	}
 }
 
 // Replace sets the members to those listed in the store and sorts the slice; the read of the list
@@ -75,7 +85,7 @@
 			p.Member = m
 			continue
 		}
-		r.peers[m.Name] = &Peer{Member: m}
+		r.peers[m.Name] = &Peer{Member: m, SeenAt: readAt}
 		joined = append(joined, m.Name)
 	}
 	for name := range r.peers {
@@ -86,6 +96,7 @@
 	}
 	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
 	r.members = members
+	r.byZone = groupByZone(members)
 	r.readAt = max(r.readAt, readAt)
 	return joined, left
 }
@@ -127,12 +138,67 @@
 	return *p, true
 }
 
-// Live reports whether a peer's heartbeat has arrived within the timeout.
+// Live reports whether a peer is live: its heartbeat has arrived within the timeout, or a digest of
+// its zone says so.
 func (r *Roster) Live(now timer.Instant, name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p, ok := r.peers[name]
-	return ok && p.Live(now, HeartbeatTimeout)
+	return ok && (p.Live(now, HeartbeatTimeout) || r.inDigest(now, p).live[name])
+}
+
+// Serving reports whether a peer is live, ready and not shutting down.
+func (r *Roster) Serving(now timer.Instant, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[name]
+	if !ok {
+		return false
+	}
+	if p.Live(now, HeartbeatTimeout) {
+		return p.Serving(now, HeartbeatTimeout)
+	}
+	return r.inDigest(now, p).serving[name]
+}
+
+// Reading reports whether a peer is live and not shutting down, so that it reads the store.
+func (r *Roster) Reading(now timer.Instant, name string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[name]
+	if !ok {
+		return false
+	}
+	if p.Live(now, HeartbeatTimeout) {
+		return !p.Heartbeat.GetLeaving()
+	}
+	return r.inDigest(now, p).serving[name]
+}
+
+// echoes returns the sequence of the latest heartbeat of each recipient; 0 if none has arrived.
+func (r *Roster) echoes(recipients []recipient) []uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sequences := make([]uint64, len(recipients))
+	for i, to := range recipients {
+		if p, ok := r.peers[to.Name]; ok {
+			sequences[i] = p.Heartbeat.GetSequence()
+		}
+	}
+	return sequences
+}
+
+// inDigest returns what a recent digest says of the peer's zone, or an empty state.
+func (r *Roster) inDigest(now timer.Instant, p *Peer) *zoneState {
+	if z := r.zones[p.Zone]; z != nil && now.Sub(z.knownAt) <= digestTimeout {
+		return z
+	}
+	return &zoneState{}
+}
+
+// Sparse reports whether not all hosts exchange heartbeats with each other.
+func (r *Roster) Sparse() bool {
+	return (&topology{members: r.Members()}).sparse()
 }
 
 // record keeps a member's heartbeat if it is newer than the last one, and reports whether it is.
@@ -145,6 +211,7 @@
 	}
 	p.Heartbeat = b
 	p.HeartbeatAt = now
+	p.SeenAt = max(p.SeenAt, now)
 	return true
 }
 
--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -85,7 +85,7 @@
 		add(h.self)
 	}
 	for _, p := range h.roster.Peers() {
-		if p.Serving(now, announcer.HeartbeatTimeout) {
+		if h.roster.Serving(now, p.Name) {
 			add(p.Member)
 		}
 	}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -175,7 +175,7 @@
 	h.exchanger = e.WithDialer(steerer.Dialer())
 	h.client = exchanger.NewClient(h.exchanger)
 	h.store = platform.NewStore(h.settings.Store.Address, h.client, storeTimeout, stats.CountCall)
-	h.roster = announcer.NewRoster(h.self.Name)
+	h.roster = announcer.NewRoster(h.self)
 	h.selector = selector.New(selector.Config{
 		Host:             h.self.Name,
 		Zone:             h.self.Zone,
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -7,7 +7,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -30,7 +29,7 @@
 		now := timer.Now()
 		live := 0
 		for _, p := range h.roster.Peers() {
-			if p.Live(now, announcer.HeartbeatTimeout) {
+			if h.roster.Live(now, p.Name) {
 				live++
 			}
 		}
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/fescuethread/fescuethread/follower"
+	"github.com/fescuethread/fescuethread/isolator"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/sharer"
@@ -27,17 +28,52 @@
 			Age:     follower.AgeMillis(now, s.VerifiedAt),
 		})
 	}
-	for name, concurrency := range h.selector.Demand(now).Concurrency {
-		if n := uint32(concurrency * demandScale); n > 0 {
-			b.Works = append(b.Works, &messenger.Work{Service: name, Demand: n})
-		}
-	}
-	for _, s := range h.isolator.Suspects(now) {
+	b.Works = encodeDemand(h.selector.Demand(now).Concurrency)
+	for _, s := range p.suspects(now) {
 		b.Suspects = append(b.Suspects, s.Encode(now))
 	}
+	for _, l := range h.selector.Leaving() {
+		b.Leaves = append(b.Leaves, &messenger.Leave{Target: l.ID, Start: l.StartMillis})
+	}
 	return b
 }
 
+// suspects returns the suspects to tell peers; in a large fleet they include quarantines of others.
+func (p peerHandler) suspects(now timer.Instant) []isolator.Suspect {
+	if p.host.roster.Sparse() {
+		return p.host.isolator.KnownSuspects(now)
+	}
+	return p.host.isolator.Suspects(now)
+}
+
+// ZoneDemand returns the demand of all hosts of this host's availability zone.
+func (p peerHandler) ZoneDemand(now timer.Instant) []*messenger.Work {
+	return encodeDemand(p.host.selector.ZoneDemand(now, p.host.self.Zone))
+}
+
+func encodeDemand(concurrency map[string]float64) []*messenger.Work {
+	var works []*messenger.Work
+	for name, c := range concurrency {
+		if n := uint32(c * demandScale); n > 0 {
+			works = append(works, &messenger.Work{Service: name, Demand: n})
+		}
+	}
+	return works
+}
+
+func decodeDemand(now timer.Instant, zone string, works []*messenger.Work) selector.Demand {
+	d := selector.Demand{Zone: zone, UpdatedAt: now, Concurrency: map[string]float64{}}
+	for _, w := range works {
+		d.Concurrency[w.GetService()] = float64(w.GetDemand()) / demandScale
+	}
+	return d
+}
+
+// HandleDigest uses the demand of another availability zone.
+func (p peerHandler) HandleDigest(now timer.Instant, zone string, d *messenger.Digest) {
+	p.host.selector.SetDemand("zone "+zone, decodeDemand(now, zone, d.GetWorks()))
+}
+
 // HandleHeartbeat handles a peer's heartbeat; echoSentAt is when this host sent the heartbeat that
 // the peer echoes, 0 if unknown.
 func (p peerHandler) HandleHeartbeat(now, echoSentAt timer.Instant, b *messenger.Beat) {
@@ -47,11 +83,13 @@
 	if !ok {
 		return
 	}
-	d := selector.Demand{Zone: peer.Zone, UpdatedAt: now, Concurrency: map[string]float64{}}
-	for _, w := range b.GetWorks() {
-		d.Concurrency[w.GetService()] = float64(w.GetDemand()) / demandScale
+	if !h.roster.Sparse() || peer.Zone == h.self.Zone {
+		// The demand of other zones comes in their digests.
+		h.selector.SetDemand(b.GetHost(), decodeDemand(now, peer.Zone, b.GetWorks()))
+	}
+	for _, l := range b.GetLeaves() {
+		h.selector.SetLeaving(selector.Leaving{ID: l.GetTarget(), StartMillis: l.GetStart()})
 	}
-	h.selector.SetDemand(b.GetHost(), d)
 	if err := h.isolator.Merge(now, b.GetHost(), b.GetSuspects()); err != nil {
 		h.log.Log(eventSuspectsInvalid)
 	}
--- a/conductor/tasks.go
+++ b/conductor/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,13 +30,16 @@
 	// deadPeerCheckInterval is how often this is checked.
 	deadPeerTimeout       = 20 * time.Second
 	deadPeerCheckInterval = 4 * time.Second
+	// sparseHops is the number of further hosts between two of a region in a large fleet: a carrier on
+	// each side.
+	sparseHops = 2
 	// demandScale converts demand to the unit of heartbeats, a thousandth of a request.
 	demandScale = 1000
 )
 
 // announce sends heartbeats until ctx ends.
 func (h *Host) announce(ctx context.Context) error {
-	ticks := h.timer.Subscribe(announcer.HeartbeatInterval)
+	ticks := h.timer.Subscribe(announcer.TickInterval)
 	defer ticks.Close()
 	return h.announcer.Announce(ctx, ticks)
 }
@@ -102,7 +106,7 @@
 		case t := <-ticks.C():
 			h.selector.SetDemand(h.self.Name, h.selector.Demand(t.At))
 			h.selector.Tick(t.At)
-			h.follower.SetRank(h.rank(t.At))
+			h.follower.SetRank(h.rank(t.At), h.hops())
 			h.follower.Sweep(t.At)
 			h.sender.Sweep(t.At)
 			h.isolator.Tick(t.At)
@@ -116,29 +120,42 @@
 	}
 }
 
+// hops returns how many more heartbeats than one a verification may need to reach this host from
+// the host that has read the store.
+func (h *Host) hops() int {
+	if h.roster.Sparse() {
+		return sparseHops
+	}
+	return 0
+}
+
 // rank returns this host's position among the live hosts that aren't shutting down, in the order
-// of the hashes of their names. Hosts read the store in this order; rank 0 reads first.
+// of the hashes of their names; in a large fleet, among those of its region. Hosts read the store in
+// this order; rank 0 reads first.
 func (h *Host) rank(now timer.Instant) int {
 	selfHash := xxhash.Sum64String(h.self.Name)
+	sparse := h.roster.Sparse()
 	rank := 0
-	for _, p := range h.roster.Peers() {
-		if p.Live(now, announcer.HeartbeatTimeout) && !p.Heartbeat.GetLeaving() &&
-			xxhash.Sum64String(p.Name) < selfHash {
+	for _, m := range h.roster.Members() {
+		if sparse && m.Region != h.self.Region {
+			continue
+		}
+		if xxhash.Sum64String(m.Name) < selfHash && h.roster.Reading(now, m.Name) {
 			rank++
 		}
 	}
 	return rank
 }
 
-// removeDeadPeers unregisters the peers whose heartbeats stopped, so that other hosts use their
-// shares of the rate limits. Only the host of rank 0 does this. A peer that still runs registers
-// again.
+// removeDeadPeers unregisters the peers that haven't been live for long, so that other hosts use
+// their shares of the rate limits. Only the first host of the fleet, or of a region in a large one,
+// does this. A peer that still runs registers again.
 func (h *Host) removeDeadPeers(ctx context.Context, now timer.Instant) {
 	if h.rank(now) > 0 || !h.Ready() {
 		return
 	}
 	for _, p := range h.roster.Peers() {
-		if p.HeartbeatAt == 0 || now.Sub(p.HeartbeatAt) < deadPeerTimeout {
+		if now.Sub(p.SeenAt) < deadPeerTimeout || !h.watchesOver(now, &p) {
 			continue
 		}
 		err := h.store.Unregister(ctx, p.Name)
@@ -147,8 +164,19 @@
 			cause = err.Error()
 		}
 		h.log.Log(eventUnregistered, logger.F("peer", p.Name),
-			logger.F("silent_ms", now.Sub(p.HeartbeatAt).Milliseconds()), logger.F("cause", cause))
+			logger.F("silent_ms", now.Sub(p.SeenAt).Milliseconds()), logger.F("cause", cause))
+	}
+}
+
+// watchesOver reports whether this host's region unregisters the peer: in a large fleet those of
+// the region itself, and those of a region without live hosts.
+func (h *Host) watchesOver(now timer.Instant, p *announcer.Peer) bool {
+	if !h.roster.Sparse() || p.Region == h.self.Region {
+		return true
 	}
+	return !slices.ContainsFunc(h.roster.Members(), func(m announcer.Member) bool {
+		return m.Region == p.Region && h.roster.Live(now, m.Name)
+	})
 }
 
 // maintainRoster periodically removes dead peers until ctx ends.
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -101,9 +101,9 @@
 }
 
 // HandleSummary handles a summary from a peer. If the hash is the same, the content counts as
-// verified as of the peer's read; otherwise the subject is read again. A summary is ignored if it
-// is not newer than the last verification, or if this host hasn't read the subject yet. Its
-// VerifiedAt must be on this host's clock and not later than the start of the peer's read.
+// verified as of the peer's read; otherwise the subject is fetched from the peer. A summary is
+// ignored if it is not newer than the last verification. Its VerifiedAt must be on this host's clock
+// and not later than the start of the peer's read.
 func (f *Follower) HandleSummary(peer string, summary Summary) {
 	if summary.Subject < subjectCount {
 		f.subjects[summary.Subject].handleSummary(peer, summary)
@@ -131,10 +131,11 @@
 	return c, verifiedAt != 0
 }
 
-// SetRank sets the number of live hosts that read the store before this one.
-func (f *Follower) SetRank(rank int) {
+// SetRank sets the number of live hosts that read the store before this one, and the number of
+// hosts that pass their verifications on to it.
+func (f *Follower) SetRank(rank, hops int) {
 	for _, state := range f.subjects {
-		state.setRank(rank)
+		state.setRank(rank, hops)
 	}
 }
 
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -308,11 +308,11 @@
 	for _, maxStaleness := range []time.Duration{time.Second, 2500 * time.Millisecond, 4 * time.Second} {
 		s := newSubjectState(newSchedule(maxStaleness))
 		s.update(1, start)
-		s.setRank(0)
+		s.setRank(0, 0)
 		if first := s.untilDue(start); 3*first > maxStaleness {
 			t.Errorf("maximum staleness %s: the first host reads after %s", maxStaleness, first)
 		}
-		s.setRank(maxRank)
+		s.setRank(maxRank, 5)
 		if last := s.untilDue(start); last > maxStaleness*9/10 {
 			t.Errorf("maximum staleness %s: the last host reads after %s", maxStaleness, last)
 		}
--- a/follower/subject.go
+++ b/follower/subject.go
@@ -79,6 +79,10 @@
 	// maxRank is the rank from which the read interval grows no more: by then all the hosts of lower
 	// rank, which should have read before, have failed to read.
 	maxRank = 4
+	// hopDelay is how much the read interval grows with each host that passes a verification on.
+	hopDelay = 400 * time.Millisecond
+	// maxReadFraction is the longest read interval as a fraction of the maximum staleness.
+	maxReadFraction = 0.85
 )
 
 // Summary summarizes a subject for peers.
@@ -97,6 +101,18 @@
 	readInterval time.Duration
 	// watchTimeout is the longest wait of a watch.
 	watchTimeout time.Duration
+	// maxInterval is the longest age of the last verification at which any host reads a subject.
+	maxInterval time.Duration
+}
+
+// interval returns the age of the last verification at which a host reads a subject.
+func (s schedule) interval(rank, hops int) time.Duration {
+	if rank == 0 {
+		return s.readInterval
+	}
+	steps := rankOneFactor + rankStepFraction*float64(rank-1)
+	interval := time.Duration(steps*float64(s.readInterval)) + time.Duration(hops)*hopDelay
+	return min(interval, max(s.maxInterval, s.readInterval))
 }
 
 // newSchedule returns a schedule that keeps the staleness of the content below a maximum.
@@ -105,16 +121,18 @@
 	return schedule{
 		readInterval: min(max(read, minReadInterval), maxReadInterval),
 		watchTimeout: time.Duration(watchFraction * float64(maxStaleness)),
+		maxInterval:  time.Duration(maxReadFraction * float64(maxStaleness)),
 	}
 }
 
 // subjectState holds the version of a subject that this host has, and decides when it is read
 // again.
 type subjectState struct {
-	readInterval time.Duration
+	schedule schedule
 
 	mu   sync.Mutex
 	rank int
+	hops int
 	hash uint64
 	// verifiedAt is the instant as of which the content was the newest; 0 if it was never read.
 	verifiedAt timer.Instant
@@ -124,7 +142,7 @@
 
 func newSubjectState(s schedule) *subjectState {
 	return &subjectState{
-		readInterval: s.readInterval, rank: maxRank, newerPeer: make(chan string, 1),
+		schedule: s, rank: maxRank, newerPeer: make(chan string, 1),
 	}
 }
 
@@ -135,10 +153,10 @@
 	return s.hash, s.verifiedAt
 }
 
-func (s *subjectState) setRank(rank int) {
+func (s *subjectState) setRank(rank, hops int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rank = min(rank, maxRank)
+	s.rank, s.hops = min(rank, maxRank), hops
 }
 
 // isFirst reports whether this host reads before all others.
@@ -164,8 +182,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
-	case s.verifiedAt == 0 || summary.VerifiedAt <= s.verifiedAt:
-	case summary.Hash == s.hash:
+	case summary.VerifiedAt <= s.verifiedAt:
+	case s.verifiedAt != 0 && summary.Hash == s.hash:
 		s.verifiedAt = summary.VerifiedAt
 	default:
 		select {
@@ -188,12 +206,7 @@
 	if s.verifiedAt == 0 {
 		return 0
 	}
-	interval := s.readInterval
-	if s.rank > 0 {
-		steps := rankStepFraction * float64(s.rank-1)
-		interval = time.Duration((rankOneFactor + steps) * float64(s.readInterval))
-	}
-	return s.verifiedAt.Add(interval).Sub(now)
+	return s.verifiedAt.Add(s.schedule.interval(s.rank, s.hops)).Sub(now)
 }
 
 // waitUntilDue waits until the subject is to be read or a peer has newer content; it returns the
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -150,6 +150,25 @@
 	return i.suspects.list()
 }
 
+// KnownSuspects returns the suspects of this host and the quarantines of its peers, to be passed on
+// to hosts that don't exchange heartbeats with those peers.
+func (i *Isolator) KnownSuspects(now timer.Instant) []Suspect {
+	known := i.Suspects(now)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, list := range i.peerSuspects {
+		for _, s := range list {
+			found := slices.ContainsFunc(known, func(other Suspect) bool {
+				return other.Fingerprint == s.Fingerprint
+			})
+			if s.Quarantined() && now.Before(s.Until) && !found && len(known) < MaxSuspects {
+				known = append(known, s)
+			}
+		}
+	}
+	return known
+}
+
 // Tick removes expired state; it is called periodically.
 func (i *Isolator) Tick(now timer.Instant) {
 	i.mu.Lock()
--- a/selector/hold.go
+++ b/selector/hold.go
@@ -25,6 +25,8 @@
 	// leaving is set once the target has said in a response that it is shutting down. Only a new
 	// start of the target, which is a new target here, ends it.
 	leaving bool
+	// told says that another host has told of the leaving.
+	told bool
 	// until is the end of the time for which the target wants no requests; 0 if it never asked.
 	until timer.Instant
 }
@@ -42,6 +44,38 @@
 	}
 }
 
+// Leaving is a target that has said that it is shutting down.
+type Leaving struct {
+	// ID is the target's ID.
+	ID string
+	// StartMillis is the Unix time of its start in milliseconds.
+	StartMillis int64
+}
+
+// Leaving returns the targets that have told this host that they are shutting down and whose
+// entries don't say so yet.
+func (s *Selector) Leaving() []Leaving {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []Leaving
+	for id, t := range s.targets {
+		if t.hold.leaving && !t.hold.told && !t.Draining {
+			list = append(list, Leaving{ID: id, StartMillis: t.StartMillis})
+		}
+	}
+	return list
+}
+
+// SetLeaving marks a target that has told another host that it is shutting down.
+func (s *Selector) SetLeaving(l Leaving) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.targets[l.ID]
+	if ok && t.StartMillis == l.StartMillis && !t.hold.leaving {
+		t.hold.leaving, t.hold.told = true, true
+	}
+}
+
 // departed is the hold of a target whose entry is gone. The entry may come back, after an outage
 // of the store for instance, without a new start of the target.
 type departed struct {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -249,7 +249,7 @@
 	s.evacuated = next
 }
 
-// SetDemand sets the demand of a host's callers.
+// SetDemand sets the demand of the callers of a host, or of all hosts of another availability zone.
 func (s *Selector) SetDemand(host string, d Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -267,11 +267,37 @@
 	return d
 }
 
+// ZoneDemand returns the sum of the recent demand of the hosts of an availability zone, by service.
+func (s *Selector) ZoneDemand(now timer.Instant, zone string) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := map[string]float64{}
+	for _, d := range s.demands {
+		if d.Zone != zone || now.Sub(d.UpdatedAt) > demandTTL {
+			continue
+		}
+		for name, concurrency := range d.Concurrency {
+			sum[name] += concurrency
+		}
+	}
+	return sum
+}
+
+// pruneDemands forgets the demand of hosts that are gone.
+func (s *Selector) pruneDemands(now timer.Instant) {
+	for host, d := range s.demands {
+		if now.Sub(d.UpdatedAt) > demandTTL {
+			delete(s.demands, host)
+		}
+	}
+}
+
 // Tick updates the averages and the zones' shares; it is called periodically, see TickInterval.
 func (s *Selector) Tick(now timer.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pruneDeparted(now)
+	s.pruneDemands(now)
 	for name, svc := range s.services {
 		svc.meter.tick(now)
 		svc.detectCommonFailure(now)
--- a/timer/service.go
+++ b/timer/service.go
@@ -6,8 +6,15 @@
 	"time"
 )
 
-// Resolution is the interval at which subscriptions are checked, and their shortest period.
-const Resolution = 10 * time.Millisecond
+const (
+	// Resolution is the shortest period of a subscription.
+	Resolution = 10 * time.Millisecond
+	// minSleep is the shortest time between two checks of the subscriptions.
+	minSleep = time.Millisecond
+	// maxSleep is the longest time between two checks of the subscriptions: the runtime's timers don't
+	// count time in suspend.
+	maxSleep = 100 * time.Millisecond
+)
 
 // Tick is one periodic notification.
 type Tick struct {
@@ -56,24 +63,29 @@
 
 // Run sends ticks until ctx is done.
 func (s *Service) Run(ctx context.Context) error {
-	t := time.NewTicker(Resolution)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			s.dispatch(Now())
+			now := Now()
+			t.Reset(s.dispatch(now).Sub(now))
 		}
 	}
 }
 
-func (s *Service) dispatch(now Instant) {
+// dispatch sends the ticks that are due and returns when to check again.
+func (s *Service) dispatch(now Instant) Instant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	next := now.Add(maxSleep)
 	for _, sub := range s.subs {
 		sub.offer(now)
+		next = min(next, sub.next)
 	}
+	return max(next, now.Add(minSleep))
 }
 
 // C returns the channel of ticks; a tick is dropped while the previous one has not been received.
