--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -116,6 +117,13 @@
 	}
 }
 
+// recoverDatagram logs a panic in the handling of a datagram; the next ones are handled.
+func (a *Announcer) recoverDatagram() {
+	if recovered := recover(); recovered != nil {
+		a.log.Log(eventReceiveFailed, logger.F("cause", fmt.Sprint(recovered)))
+	}
+}
+
 // Announce sends heartbeats until ctx ends, and logs which peers are live. The ticks' period must be
 // TickInterval.
 func (a *Announcer) Announce(ctx context.Context, ticks *timer.Subscription) error {
@@ -258,6 +266,7 @@
 }
 
 func (a *Announcer) handle(data []byte) {
+	defer a.recoverDatagram()
 	var d messenger.Datagram
 	if err := proto.Unmarshal(data, &d); err != nil {
 		a.log.Log(eventReceiveFailed, logger.F("cause", err.Error()))
--- a/announcer/announcer_test.go
+++ b/announcer/announcer_test.go
@@ -1,9 +1,14 @@
 package announcer
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -100,3 +105,31 @@
 	t.Cleanup(func() { _ = a.conn.Close() })
 	return a
 }
+
+// panicHandler panics at each token transfer.
+type panicHandler struct {
+	simHandler
+}
+
+func (*panicHandler) HandleTokenTransfer(timer.Instant, *messenger.Gift) { panic("unexpected") }
+
+// TestDatagramsAreSurvived: neither malformed datagrams nor an unexpected error in the handling of
+// one end the process.
+func TestDatagramsAreSurvived(t *testing.T) {
+	a := &Announcer{
+		roster: NewRoster(Member{Name: "a"}), handler: &panicHandler{},
+		log: logger.New(io.Discard, logger.FormatJSON, log.FatalLevel),
+	}
+	for _, d := range []*messenger.Datagram{
+		{}, {Gift: &messenger.Gift{}}, {Plea: &messenger.Plea{}}, {Beat: &messenger.Beat{}},
+		{Beat: &messenger.Beat{Digests: []*messenger.Digest{{Live: []byte("x")}}}},
+	} {
+		data, err := proto.Marshal(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for n := range len(data) + 1 {
+			a.handle(data[:n])
+		}
+	}
+}
--- a/conductor/events.go
+++ b/conductor/events.go
@@ -23,6 +23,9 @@
 	eventStopTimeout = logger.Define(1017, log.ErrorLevel, "shutdown deadline reached",
 		"Requests were still in flight at the end of the grace period.",
 		"Lengthen the grace period if this recurs.")
+	eventPanic = logger.Define(1019, log.ErrorLevel, "unexpected error",
+		"The handling of a request failed unexpectedly; its caller got 500 and the others go on.",
+		"Report the field `stack`.")
 	eventRegistered = logger.Define(1631, log.InfoLevel, "host registered",
 		"The host's entry is in the store.", "Nothing.")
 	eventRegisterFailed = logger.Define(1632, log.WarnLevel, "host registration failed",
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -269,6 +270,7 @@
 		MaxConnections:      connections,
 		IdleTimeout:         defaultIdleTimeout + idleMargin,
 		CurrentLimits:       h.callerLimits,
+		OnPanic:             h.logPanic,
 	}, h.steerer)
 	if err != nil {
 		return err
@@ -303,6 +305,7 @@
 		MaxWriteBufferBytes: maxAuxResponseBytes,
 		MaxConnections:      maxAuxConnections,
 		IdleTimeout:         defaultIdleTimeout,
+		OnPanic:             h.logPanic,
 	}, handler)
 	if err != nil {
 		return err
@@ -311,6 +314,12 @@
 	return nil
 }
 
+// logPanic logs an unexpected error in the handling of a request.
+func (h *Host) logPanic(recovered interface{}) {
+	h.log.Log(eventPanic, logger.F("cause", fmt.Sprint(recovered)),
+		logger.F("stack", string(debug.Stack())))
+}
+
 // callerLimits returns the current configuration's limits on callers' requests.
 func (h *Host) callerLimits() server.Limits {
 	limits := server.Limits{
--- a/connector/server.go
+++ b/connector/server.go
@@ -73,13 +73,20 @@
 	return g.server.cfg.greeting(), nil
 }
 
-// Fetch calls the handler if the connection's handshake is done.
+// Fetch calls the handler if the connection's handshake is done; a panic of the handler is an error
+// of the call.
 func (g *guard) Fetch(
 	ctx context.Context, in *messenger.DocumentQuery,
-) (*messenger.Document, error) {
+) (out *messenger.Document, err error) {
 	if err := g.check(ctx); err != nil {
 		return nil, err
 	}
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			cause := errors.Errorf("unexpected error: %v", recovered)
+			err = &Error{Op: "fetch", Kind: KindProtocol, Err: cause}
+		}
+	}()
 	return g.Handler.Fetch(ctx, in)
 }
 
--- a/server/config.go
+++ b/server/config.go
@@ -20,6 +20,8 @@
 	// CurrentLimits returns limits that may change while the server runs; if it is nil, MaxBodyBytes,
 	// MaxHeaderBytes and, for the header, IdleTimeout apply.
 	CurrentLimits func() Limits
+	// OnPanic is called if the handler panics, with the recovered value; it may be nil.
+	OnPanic func(recovered interface{})
 }
 
 // Limits are the limits that may change while the server runs.
--- a/server/server.go
+++ b/server/server.go
@@ -255,7 +255,7 @@
 	last := r.Close
 	r.Close = false
 	response := &bufferedResponse{header: http.Header{}}
-	s.handler.ServeHTTP(response, r)
+	s.handle(response, r)
 	if !t.await(r.Context()) {
 		return
 	}
@@ -265,3 +265,19 @@
 	response.copyTo(w)
 	_ = t.conn.raw.SetWriteDeadline(time.Now().Add(s.cfg.IdleTimeout))
 }
+
+// handle runs the handler. If it panics, the caller gets 500, which promises nothing about the
+// request, and the other requests go on.
+func (s *Server) handle(w *bufferedResponse, r *http.Request) {
+	defer func() {
+		recovered := recover()
+		if recovered == nil {
+			return
+		}
+		*w = bufferedResponse{header: http.Header{}, status: http.StatusInternalServerError}
+		if s.cfg.OnPanic != nil {
+			s.cfg.OnPanic(recovered)
+		}
+	}()
+	s.handler.ServeHTTP(w, r)
+}
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -239,3 +239,21 @@
 		t.Fatalf("the connection is not closed: %v", err)
 	}
 }
+
+// TestPanicEndsOnlyItsRequest: an unexpected error in one request costs neither the process nor the
+// other requests of the connection.
+func TestPanicEndsOnlyItsRequest(t *testing.T) {
+	s := start(t, 10, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			panic("unexpected")
+		}
+		_, _ = io.WriteString(w, r.URL.Path)
+	})
+	conn, r := dial(t, s)
+	write(t, conn, pipelined(3))
+	wantResponse(t, r, "/0")
+	if resp, _ := readResponse(t, r); resp.StatusCode != http.StatusInternalServerError {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	wantResponse(t, r, "/2")
+}
