--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// Announce sends heartbeats until ctx ends, and logs which peers are live. The ticks' period must be
-// TickInterval.
+// Announce sends heartbeats until ctx ends, and logs which peers are live. The ticks' period must
+// be TickInterval.
 func (a *Announcer) Announce(ctx context.Context, ticks *timer.Subscription) error {
 	var due timer.Instant
 	for {
--- a/announcer/digest.go
+++ b/announcer/digest.go
@@ -41,13 +41,14 @@
 type entry uint8
 
 const (
-	// entryMesh is a digest from the own mesh that entered the region in another zone; it isn't passed
-	// on.
+	// entryMesh is a digest from the own mesh that entered the region in another zone; it isn't
+	// passed on.
 	entryMesh entry = iota
-	// entryZone is a digest from a carrier of another zone of the region; it is passed on in the mesh.
+	// entryZone is a digest from a carrier of another zone of the region; it is passed on in the
+	// mesh.
 	entryZone
-	// entryRegion is a digest from a carrier of another region; it is passed on in the mesh and to the
-	// other zones of the region.
+	// entryRegion is a digest from a carrier of another region; it is passed on in the mesh and to
+	// the other zones of the region.
 	entryRegion
 	// entryRegionMesh is such a digest that came by the mesh; it is passed on to the other zones.
 	entryRegionMesh
--- a/conductor/tasks.go
+++ b/conductor/tasks.go
@@ -130,8 +130,8 @@
 }
 
 // rank returns this host's position among the live hosts that aren't shutting down, in the order
-// of the hashes of their names; in a large fleet, among those of its region. Hosts read the store in
-// this order; rank 0 reads first.
+// of the hashes of their names; in a large fleet, among those of its region. Hosts read the store
+// in this order; rank 0 reads first.
 func (h *Host) rank(now timer.Instant) int {
 	selfHash := xxhash.Sum64String(h.self.Name)
 	sparse := h.roster.Sparse()
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -102,8 +102,8 @@
 
 // HandleSummary handles a summary from a peer. If the hash is the same, the content counts as
 // verified as of the peer's read; otherwise the subject is fetched from the peer. A summary is
-// ignored if it is not newer than the last verification. Its VerifiedAt must be on this host's clock
-// and not later than the start of the peer's read.
+// ignored if it is not newer than the last verification. Its VerifiedAt must be on this host's
+// clock and not later than the start of the peer's read.
 func (f *Follower) HandleSummary(peer string, summary Summary) {
 	if summary.Subject < subjectCount {
 		f.subjects[summary.Subject].handleSummary(peer, summary)
