--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// Content returns a subject's content for a peer, or false if it was not read yet. Of the targets it
-// returns the changes after a revision, which may be 0.
+// Content returns a subject's content for a peer, or false if it was not read yet. Of the targets
+// it returns the changes after a revision, which may be 0.
 func (f *Follower) Content(s Subject, since uint64) (Content, bool) {
 	if s >= subjectCount {
 		return Content{}, false
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -150,8 +150,8 @@
 	return i.suspects.list()
 }
 
-// KnownSuspects returns the suspects of this host and the quarantines of its peers, to be passed on
-// to hosts that don't exchange heartbeats with those peers.
+// KnownSuspects returns the suspects of this host and the quarantines of its peers, to be passed
+// on to hosts that don't exchange heartbeats with those peers.
 func (i *Isolator) KnownSuspects(now timer.Instant) []Suspect {
 	known := i.Suspects(now)
 	i.mu.Lock()
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,8 +21,8 @@
 
 // Source provides this host's copy of the store's content.
 type Source interface {
-	// Content returns the content of a subject, of the targets the changes after a revision; it reports
-	// false if the host has none.
+	// Content returns the content of a subject, of the targets the changes after a revision; it
+	// reports false if the host has none.
 	Content(subject follower.Subject, since uint64) (follower.Content, bool)
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -249,7 +249,8 @@
 	s.evacuated = next
 }
 
-// SetDemand sets the demand of the callers of a host, or of all hosts of another availability zone.
+// SetDemand sets the demand of the callers of a host, or of all hosts of another availability
+// zone.
 func (s *Selector) SetDemand(host string, d Demand) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/timer/service.go
+++ b/timer/service.go
@@ -11,8 +11,8 @@
 	Resolution = 10 * time.Millisecond
 	// minSleep is the shortest time between two checks of the subscriptions.
 	minSleep = time.Millisecond
-	// maxSleep is the longest time between two checks of the subscriptions: the runtime's timers don't
-	// count time in suspend.
+	// maxSleep is the longest time between two checks of the subscriptions: the runtime's timers
+	// don't count time in suspend.
 	maxSleep = 100 * time.Millisecond
 )
 
