allocator: give nbio plain buffers; end the server after its last responses

Ruled out: the kernel (plain net writes 60 of 60 in under 4 ms), lost events (the socket wasn't waiting for one). Where the pool's buffer is freed too early wasn't found. And: a server that ended closed connections whose last response was still in that queue. Change: package allocator sets nbio's standard allocator; before the server closes its connections it waits up to 350 ms for those whose last response was written, within the margin that a stop keeps. Result: TestLargeResponsesArriveWhole (fails before), TestEndOfServerKeepsLastResponses (fails before).

--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,7 @@
+package allocator
+
+import "github.com/lesismal/nbio/mempool"
+
+func init() {
+	mempool.DefaultMemPool = mempool.NewSTD()
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -11,6 +11,8 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	_ "github.com/fescuethread/fescuethread/allocator" // Sets the buffers of nbio.
 )
 
 const (
--- a/follower/changelog.go
+++ b/follower/changelog.go
@@ -13,8 +13,8 @@
 	difference bool
 }
 
-// changelog holds the latest changes of target entries in their order, so that a peer that holds an
-// older revision gets what it has missed.
+// changelog holds the latest changes of target entries in their order, so that a peer that holds
+// an older revision gets what it has missed.
 type changelog struct {
 	// from is the revision before the first batch; 0 if there is no complete log.
 	from    uint64
@@ -42,8 +42,8 @@
 }
 
 // since returns the changes after a revision; ok is false if the log can't tell them. A batch that
-// includes the revision is returned whole, unless it is a difference: to apply its changes again in
-// their order ends in the same state.
+// includes the revision is returned whole, unless it is a difference: to apply its changes again
+// in their order ends in the same state.
 func (l *changelog) since(revision uint64) (changes []Change, ok bool) {
 	if l.from == 0 || revision < l.from {
 		return nil, false
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -245,8 +245,8 @@
 	return 0, false
 }
 
-// useTargets applies a peer's changes of the targets. It returns false if the result isn't what the
-// peer has: the entries may hold an older change of another peer that isn't in the peer's log.
+// useTargets applies a peer's changes of the targets. It returns false if the result isn't what
+// the peer has; this host's entries may be newer.
 func (f *Follower) useTargets(c Content) (uint64, bool) {
 	if f.entries.applyRelayed(timer.Now(), c.Changes) {
 		f.sink.UseTargets(f.entries.list())
--- a/server/config.go
+++ b/server/config.go
@@ -68,3 +68,10 @@
 // lingerTimeout is the time for which a connection stays open after its last response, so that the
 // response reaches the caller.
 const lingerTimeout = time.Second
+
+const (
+	// closeTimeout is the time that callers have to read their last responses when the server ends,
+	// and closePollInterval how often this is checked.
+	closeTimeout      = 350 * time.Millisecond
+	closePollInterval = 10 * time.Millisecond
+)
--- a/server/connection.go
+++ b/server/connection.go
@@ -91,7 +91,9 @@
 	c.mu.Lock()
 	t := c.latest
 	c.mu.Unlock()
+	c.server.activeRequests.Add(1)
 	go func() {
+		defer c.server.activeRequests.Done()
 		f()
 		c.end(t)
 	}()
--- a/server/pipeline_test.go
+++ b/server/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -244,3 +245,29 @@
 		t.Fatalf("status %d", resp.StatusCode)
 	}
 }
+
+// TestEndOfServerKeepsLastResponses: a large response that was just written when the server ends
+// reaches its caller whole.
+func TestEndOfServerKeepsLastResponses(t *testing.T) {
+	body := strings.Repeat("x", 4<<20)
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := Listen(ctx, Config{
+		Address: "127.0.0.1:0", MaxBodyBytes: bodyBytes, MaxHeaderBytes: headerBytes,
+		MaxWriteBufferBytes: 8 << 20, MaxConnections: 10, IdleTimeout: time.Minute,
+	}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		cancel()
+		_, _ = io.WriteString(w, body)
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.DisableKeepAlives()
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	conn, r := dial(t, s)
+	write(t, conn, pipelined(1))
+	wantResponse(t, r, body)
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	_ "github.com/fescuethread/fescuethread/allocator" // Sets the buffers of nbio.
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -61,6 +62,7 @@
 	started := time.Now()
 	err := s.accept()
 	s.activeRequests.Wait()
+	s.awaitLastResponses()
 	s.cancel()
 	s.closeAll()
 	// Stop blocks forever if it is called before the pollers run.
@@ -202,6 +204,22 @@
 	return c
 }
 
+// awaitLastResponses waits until the callers have closed the connections whose last response was
+// written, for at most closeTimeout: to close them sooner may truncate a response.
+func (s *Server) awaitLastResponses() {
+	for end := time.Now().Add(closeTimeout); time.Now().Before(end); time.Sleep(closePollInterval) {
+		lingering := false
+		s.conns.Range(func(_, v interface{}) bool {
+			c, ok := v.(*connection)
+			lingering = ok && c.closeAt.Load() != 0
+			return !lingering
+		})
+		if !lingering {
+			return
+		}
+	}
+}
+
 func (s *Server) closeAll() {
 	s.conns.Range(func(_, c interface{}) bool {
 		if conn, ok := c.(*connection); ok {
@@ -248,8 +266,6 @@
 	if t == nil {
 		return
 	}
-	s.activeRequests.Add(1)
-	defer s.activeRequests.Done()
 	// nbhttp would close the connection without waiting for its write queue, which truncates the
 	// response.
 	last := r.Close
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -257,3 +257,16 @@
 	}
 	wantResponse(t, r, "/2")
 }
+
+// TestLargeResponsesArriveWhole: what a socket doesn't take at once follows later. With the buffers
+// of nbio's pool, part of what waits got lost in about one of three such responses.
+func TestLargeResponsesArriveWhole(t *testing.T) {
+	body := strings.Repeat("x", 6<<20)
+	s := start(t, 10, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	for range 20 {
+		conn, r := dial(t, s)
+		write(t, conn, pipelined(1))
+		wantResponse(t, r, body)
+		_ = conn.Close()
+	}
+}
