--- a/announcer/roster.go
+++ b/announcer/roster.go
@@ -138,8 +138,8 @@
 	return *p, true
 }
 
-// Live reports whether a peer is live: its heartbeat has arrived within the timeout, or a digest of
-// its zone says so.
+// Live reports whether a peer is live: its heartbeat has arrived within the timeout, or a digest
+// of its zone says so.
 func (r *Roster) Live(now timer.Instant, name string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/announcer/topology.go
+++ b/announcer/topology.go
@@ -35,8 +35,8 @@
 // topology decides which hosts exchange heartbeats. It depends only on the registered hosts and on
 // which of them are live, so the hosts need no election. In a large fleet, the hosts of an
 // availability zone form a mesh, and a few carriers of it exchange heartbeats with carriers of the
-// other zones of the region; carriers of a region do the same between regions. Views of who is live
-// differ for a moment; then there is a carrier more or less.
+// other zones of the region; carriers of a region do the same between regions. Views of who is
+// live differ for a moment; then there is a carrier more or less.
 type topology struct {
 	self    Member
 	members []Member
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -38,7 +38,8 @@
 	return b
 }
 
-// suspects returns the suspects to tell peers; in a large fleet they include quarantines of others.
+// suspects returns the suspects to tell peers; in a large fleet they include quarantines of
+// others.
 func (p peerHandler) suspects(now timer.Instant) []isolator.Suspect {
 	if p.host.roster.Sparse() {
 		return p.host.isolator.KnownSuspects(now)
--- a/conductor/tasks.go
+++ b/conductor/tasks.go
@@ -30,8 +30,8 @@
 	// deadPeerCheckInterval is how often this is checked.
 	deadPeerTimeout       = 20 * time.Second
 	deadPeerCheckInterval = 4 * time.Second
-	// sparseHops is the number of further hosts between two of a region in a large fleet: a carrier on
-	// each side.
+	// sparseHops is the number of further hosts between two of a region in a large fleet: a carrier
+	// on each side.
 	sparseHops = 2
 	// demandScale converts demand to the unit of heartbeats, a thousandth of a request.
 	demandScale = 1000
@@ -148,8 +148,8 @@
 }
 
 // removeDeadPeers unregisters the peers that haven't been live for long, so that other hosts use
-// their shares of the rate limits. Only the first host of the fleet, or of a region in a large one,
-// does this. A peer that still runs registers again.
+// their shares of the rate limits. Only the first host of the fleet, or of a region in a large
+// one, does this. A peer that still runs registers again.
 func (h *Host) removeDeadPeers(ctx context.Context, now timer.Instant) {
 	if h.rank(now) > 0 || !h.Ready() {
 		return
--- a/connector/server.go
+++ b/connector/server.go
@@ -73,8 +73,8 @@
 	return g.server.cfg.greeting(), nil
 }
 
-// Fetch calls the handler if the connection's handshake is done; a panic of the handler is an error
-// of the call.
+// Fetch calls the handler if the connection's handshake is done; a panic of the handler is an
+// error of the call.
 func (g *guard) Fetch(
 	ctx context.Context, in *messenger.DocumentQuery,
 ) (out *messenger.Document, err error) {
--- a/follower/source.go
+++ b/follower/source.go
@@ -55,7 +55,8 @@
 	Changed []Change
 	// Revision is the store's revision after the changes.
 	Revision uint64
-	// Complete reports that the changes are all entries there are, in place of those after a revision.
+	// Complete reports that the changes are all entries there are, in place of those after a
+	// revision.
 	Complete bool
 }
 
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -268,7 +268,8 @@
 	return d
 }
 
-// ZoneDemand returns the sum of the recent demand of the hosts of an availability zone, by service.
+// ZoneDemand returns the sum of the recent demand of the hosts of an availability zone, by
+// service.
 func (s *Selector) ZoneDemand(now timer.Instant, zone string) map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/sharer/holders.go
+++ b/sharer/holders.go
@@ -29,12 +29,13 @@
 }
 
 // holders returns the hosts that hold shares of a customer's rate, at most the given number. They
-// depend only on the customer and the registered hosts, so all hosts agree on them. They are spread
-// evenly over the regions, and in a region over its zones.
+// depend only on the customer and the registered hosts, so all hosts agree on them. They are
+// spread evenly over the regions, and in a region over its zones.
 func holders(customer string, hosts []Host, limit int) []Host {
 	ranked := make([]rankedHost, 0, len(hosts))
 	for _, h := range hosts {
-		ranked = append(ranked, rankedHost{Host: h, hash: xxhash.Sum64String(customer + "\x00" + h.Name)})
+		hash := xxhash.Sum64String(customer + "\x00" + h.Name)
+		ranked = append(ranked, rankedHost{Host: h, hash: hash})
 	}
 	sortRanked(ranked)
 	assignTiers(ranked, func(h Host) string { return h.Zone })
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -94,9 +94,9 @@
 // Sharer holds this host's token buckets; it is safe for concurrent use.
 //
 // A customer's rate and total burst are divided into equal shares among a few hosts, the holders.
-// The other hosts request tokens from them when a request waits, and holders refill each other. The
-// giver debits tokens before the receiver credits them, and a new process starts without any. So
-// all hosts together never exceed the rate and the total burst, and a lost message only loses
+// The other hosts request tokens from them when a request waits, and holders refill each other.
+// The giver debits tokens before the receiver credits them, and a new process starts without any.
+// So all hosts together never exceed the rate and the total burst, and a lost message only loses
 // tokens.
 type Sharer struct {
 	self      Host
