--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -195,6 +195,9 @@
 	if _, verifiedAt := s.version(); verifiedAt != 0 {
 		t.Fatal("a peer's summary replaced the first read")
 	}
+	if len(s.newerPeer) != 1 || <-s.newerPeer != "p" {
+		t.Fatal("a host that has read nothing doesn't fetch from its peer")
+	}
 	s.update(1, 100)
 	s.handleSummary("p", Summary{Hash: 1, VerifiedAt: 150})
 	if _, verifiedAt := s.version(); verifiedAt != 150 {
