--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/apex/log"
 	"github.com/pelletier/go-toml/v2"
@@ -12,6 +13,9 @@
 	"github.com/fescuethread/fescuethread/platform"
 )
 
+// maxPort is the highest port.
+const maxPort = 65535
+
 // Settings are the settings of one process; deploy/settings.toml is the platform's template of the
 // file.
 type Settings struct {
@@ -74,18 +78,40 @@
 // LoadSettings reads and validates a settings file and ignores unknown keys; errors are of
 // KindSettings.
 func LoadSettings(path string) (Settings, error) {
+	s, problems, err := CheckSettings(path)
+	if err != nil {
+		return s, err
+	}
+	var faults []string
+	for _, p := range problems {
+		if !p.Warning {
+			faults = append(faults, p.String())
+		}
+	}
+	if len(faults) > 0 {
+		cause := errors.Errorf("%d invalid settings: %s", len(faults), strings.Join(faults, "; "))
+		return s, &Error{Op: "check " + path, Kind: KindSettings, Err: cause}
+	}
+	return s, nil
+}
+
+// CheckSettings reads a settings file and returns all its problems; an error of KindSettings means
+// that the file can't be read or decoded.
+func CheckSettings(path string) (Settings, []Problem, error) {
 	s := Settings{Log: LogSettings{Level: "info"}}
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, &Error{Op: "read settings", Kind: KindSettings, Err: err}
+		return s, nil, &Error{Op: "read settings", Kind: KindSettings, Err: err}
 	}
 	if err := toml.Unmarshal(data, &s); err != nil {
-		return s, &Error{Op: "decode " + path, Kind: KindSettings, Err: withPosition(err)}
+		return s, nil, &Error{Op: "decode " + path, Kind: KindSettings, Err: withPosition(err)}
 	}
-	if err := s.validate(); err != nil {
-		return s, &Error{Op: "check " + path, Kind: KindSettings, Err: err}
+	problems := append(s.problems(), unknownKeys(data)...)
+	lines := keyLines(data)
+	for i := range problems {
+		problems[i].Line = lines[problems[i].Key]
 	}
-	return s, nil
+	return s, problems, nil
 }
 
 // withPosition adds line and column to a TOML decoding error.
@@ -98,45 +124,36 @@
 	return errors.Errorf("line %d, column %d: %s", line, column, e.Error())
 }
 
-// validate returns one error that lists all invalid settings.
-func (s *Settings) validate() error {
-	var problems []string
-	report := func(format string, args ...interface{}) {
-		problems = append(problems, fmt.Sprintf(format, args...))
-	}
-	if s.Host.Name == "" {
-		report("host.name is missing")
-	}
-	if _, err := netip.ParseAddr(s.Host.Address); err != nil {
-		report("host.address %q is not an IP address", s.Host.Address)
-	}
-	if _, ok := s.Zones[s.Host.Zone]; !ok {
-		report("host.zone %q is not listed in zones", s.Host.Zone)
+// problems returns the invalid settings.
+func (s *Settings) problems() []Problem {
+	var list []Problem
+	report := func(valid bool, key string, found interface{}, allowed string) {
+		if !valid {
+			quoted := fmt.Sprintf("%q", fmt.Sprint(found))
+			list = append(list, Problem{Key: key, Found: quoted, Allowed: allowed})
+		}
 	}
-	for _, a := range []struct{ name, value string }{
+	report(s.Host.Name != "", "host.name", s.Host.Name, "a name")
+	_, err := netip.ParseAddr(s.Host.Address)
+	report(err == nil, "host.address", s.Host.Address, "an IP address")
+	_, ok := s.Zones[s.Host.Zone]
+	report(ok, "host.zone", s.Host.Zone, "a zone of [zones]")
+	for _, a := range []struct{ key, value string }{
 		{"listen.callers", s.Listen.Callers},
 		{"listen.ready", s.Listen.Ready},
 		{"listen.directory", s.Listen.Directory},
 		{"store.address", s.Store.Address},
 	} {
-		if _, err := netip.ParseAddrPort(a.value); err != nil {
-			report("%s %q is not an IP address and port", a.name, a.value)
-		}
-	}
-	if s.Listen.Peer <= 0 || s.Listen.Peer > 65535 {
-		report("listen.peer %d is not a port", s.Listen.Peer)
-	}
-	if s.Listen.Metrics < 0 || s.Listen.Metrics > 65535 {
-		report("listen.metrics %d is not a port", s.Listen.Metrics)
-	}
-	if s.Host.Memory < 0 || s.Host.Files < 0 {
-		report("host.memory and host.files must not be negative")
-	}
-	if _, err := log.ParseLevel(s.Log.Level); err != nil {
-		report("log.level %q is not one of debug, info, warn, error", s.Log.Level)
-	}
-	if len(problems) == 0 {
-		return nil
+		_, err := netip.ParseAddrPort(a.value)
+		report(err == nil, a.key, a.value, "an IP address and port")
 	}
-	return errors.Errorf("%d invalid settings: %v", len(problems), problems)
+	report(s.Listen.Peer > 0 && s.Listen.Peer <= maxPort, "listen.peer", s.Listen.Peer,
+		"a port from 1 to 65535")
+	report(s.Listen.Metrics >= 0 && s.Listen.Metrics <= maxPort, "listen.metrics", s.Listen.Metrics,
+		"a port from 1 to 65535, or 0")
+	report(s.Host.Memory >= 0, "host.memory", s.Host.Memory, "0 or more MiB")
+	report(s.Host.Files >= 0, "host.files", s.Host.Files, "0 or more")
+	_, err = log.ParseLevel(s.Log.Level)
+	report(err == nil, "log.level", s.Log.Level, "debug, info, warn or error")
+	return list
 }
