--- a/conductor/host.go
+++ b/conductor/host.go
@@ -2,17 +2,13 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/connector"
 	"github.com/fescuethread/fescuethread/exchanger"
@@ -260,90 +256,6 @@
 	return h.follower.HostsVerifiedAt()
 }
 
-func (h *Host) listen(ctx context.Context) error {
-	connections := max(h.settings.Host.Files-reservedFiles, minCallerConnections)
-	callers, err := server.Listen(ctx, server.Config{
-		Address:             h.settings.Listen.Callers,
-		MaxBodyBytes:        defaultMaxBodyBytes,
-		MaxHeaderBytes:      defaultMaxHeaderBytes,
-		MaxWriteBufferBytes: maxResponseBytes,
-		MaxConnections:      connections,
-		IdleTimeout:         defaultIdleTimeout + idleMargin,
-		CurrentLimits:       h.callerLimits,
-		OnPanic:             h.logPanic,
-	}, h.steerer)
-	if err != nil {
-		return err
-	}
-	h.callerServer = callers
-	if h.peerServer, err = connector.Listen(ctx, h.self.PeerAddress, h.peerConfig()); err != nil {
-		return err
-	}
-	if err := h.listenAux(ctx, "ready", h.settings.Listen.Ready, directory{h}); err != nil {
-		return err
-	}
-	err = h.listenAux(ctx, "directory", h.settings.Listen.Directory, directory{h})
-	if err != nil || h.settings.Listen.Metrics == 0 {
-		return err
-	}
-	address := net.JoinHostPort(h.settings.Host.Address, strconv.Itoa(h.settings.Listen.Metrics))
-	return h.listenAux(ctx, "metrics", address, http.HandlerFunc(serveMetrics))
-}
-
-func serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	metrics.WritePrometheus(w, true)
-}
-
-func (h *Host) listenAux(
-	ctx context.Context, name, address string, handler http.Handler,
-) error {
-	s, err := server.Listen(ctx, server.Config{
-		Address:             address,
-		MaxBodyBytes:        maxAuxBodyBytes,
-		MaxHeaderBytes:      maxAuxHeaderBytes,
-		MaxWriteBufferBytes: maxAuxResponseBytes,
-		MaxConnections:      maxAuxConnections,
-		IdleTimeout:         defaultIdleTimeout,
-		OnPanic:             h.logPanic,
-	}, handler)
-	if err != nil {
-		return err
-	}
-	h.auxServers[name] = s
-	return nil
-}
-
-// logPanic logs an unexpected error in the handling of a request.
-func (h *Host) logPanic(recovered interface{}) {
-	h.log.Log(eventPanic, logger.F("cause", fmt.Sprint(recovered)),
-		logger.F("stack", string(debug.Stack())))
-}
-
-// callerLimits returns the current configuration's limits on callers' requests.
-func (h *Host) callerLimits() server.Limits {
-	limits := server.Limits{
-		MaxBodyBytes:   defaultMaxBodyBytes,
-		MaxHeaderBytes: defaultMaxHeaderBytes,
-		HeaderTimeout:  defaultHeaderTimeout,
-	}
-	p := h.follower.Plan()
-	if p == nil {
-		return limits
-	}
-	l := p.Limits()
-	if l.MaxBodyBytes > 0 {
-		limits.MaxBodyBytes = l.MaxBodyBytes
-	}
-	if l.MaxHeaderBytes > 0 {
-		limits.MaxHeaderBytes = l.MaxHeaderBytes
-	}
-	if l.HeaderTimeout > 0 {
-		limits.HeaderTimeout = l.HeaderTimeout
-	}
-	return limits
-}
-
 // serviceFunc adapts a function to launcher.Service.
 type serviceFunc func(ctx context.Context) error
 
--- /dev/null
+++ b/exchanger/header.go
@@ -0,0 +1,140 @@
+package exchanger
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+)
+
+// OnProto implements nbhttp.Processor.
+func (c *call) OnProto(_ *nbhttp.Parser, proto string) error {
+	if c.finished || c.closeDelimited {
+		c.closeAfter = true
+		return ErrUnsolicited
+	}
+	switch proto {
+	case "HTTP/1.1":
+	case "HTTP/1.0":
+		c.closeAfter = true
+	default:
+		return errors.Errorf("unsupported protocol version %q", proto)
+	}
+	return nil
+}
+
+// OnStatus implements nbhttp.Processor.
+func (c *call) OnStatus(_ *nbhttp.Parser, code int, reason string) {
+	if code < http.StatusContinue || code > 999 {
+		c.fail(errors.WithMessage(ErrMalformed, "invalid status code"))
+	}
+	// If the reason phrase is empty, the parser returns the first header field in its place.
+	if strings.Contains(reason, ":") {
+		c.fail(errors.WithMessage(ErrMalformed, "invalid reason phrase"))
+	}
+	c.response.Status = code
+}
+
+// OnHeader implements nbhttp.Processor.
+func (c *call) OnHeader(_ *nbhttp.Parser, key, value string) {
+	if c.finished {
+		return
+	}
+	c.headerSize += len(key) + len(value)
+	if c.headerSize > c.limits.MaxHeaderBytes {
+		c.fail(ErrTooLarge)
+		return
+	}
+	if strings.ContainsAny(value, "\n\x00") {
+		c.fail(errors.WithMessage(ErrMalformed, "invalid character in a header value"))
+		return
+	}
+	c.response.Header.Add(key, value)
+}
+
+// OnContentLength implements nbhttp.Processor; the parser calls it at the end of the header.
+func (c *call) OnContentLength(_ *nbhttp.Parser, length int) {
+	if c.finished {
+		return
+	}
+	if err := c.checkHeader(); err != nil {
+		c.fail(err)
+		return
+	}
+	chunked := c.response.Header.Get("Transfer-Encoding") != ""
+	if c.response.Status < http.StatusOK {
+		c.checkInterim(length, chunked)
+		return
+	}
+	if !c.hasBody() {
+		c.endAtHeader(length, chunked)
+		return
+	}
+	c.checkLength(length, chunked)
+}
+
+func (c *call) checkInterim(length int, chunked bool) {
+	if c.response.Status == http.StatusSwitchingProtocols {
+		c.fail(errors.WithMessage(ErrUnsupported, "protocol upgrade"))
+		return
+	}
+	if length > 0 || chunked {
+		c.fail(errors.WithMessage(ErrMalformed, "interim response with a body"))
+	}
+}
+
+// endAtHeader completes a response that has no body although its header announces one, as for HEAD
+// requests. The parser waits for that body, so the connection can't be reused.
+func (c *call) endAtHeader(length int, chunked bool) {
+	if length > 0 || chunked {
+		c.closeAfter = true
+		c.complete()
+	}
+}
+
+func (c *call) checkLength(length int, chunked bool) {
+	if length > c.limits.MaxBodyBytes {
+		c.fail(ErrTooLarge)
+		return
+	}
+	if length >= 0 || chunked {
+		return
+	}
+	if !c.limits.AllowCloseDelimited {
+		c.fail(ErrNoLength)
+		return
+	}
+	c.closeDelimited = true
+	c.closeAfter = true
+}
+
+func (c *call) hasBody() bool {
+	if c.method == http.MethodHead {
+		return false
+	}
+	return c.response.Status != http.StatusNoContent && c.response.Status != http.StatusNotModified
+}
+
+func (c *call) checkHeader() error {
+	h := c.response.Header
+	lengths := h.Values("Content-Length")
+	if len(lengths) > 1 {
+		return errors.WithMessage(ErrMalformed, "more than one Content-Length")
+	}
+	if len(lengths) == 1 && !isNumber(lengths[0]) {
+		return errors.WithMessage(ErrMalformed, "invalid Content-Length")
+	}
+	if len(lengths) == 1 && h.Get("Transfer-Encoding") != "" {
+		return errors.WithMessage(ErrMalformed, "both Content-Length and Transfer-Encoding")
+	}
+	if h.Get("Trailer") != "" {
+		return errors.WithMessage(ErrUnsupported, "trailer fields")
+	}
+	return nil
+}
+
+func isNumber(s string) bool {
+	s = strings.TrimSpace(s)
+	return s != "" && strings.Trim(s, "0123456789") == ""
+}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -169,16 +169,6 @@
 	return known
 }
 
-// Tick removes expired state; it is called periodically.
-func (i *Isolator) Tick(now timer.Instant) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.suspects.expire(now)
-	i.pruneCleared(now)
-	i.prunePeers(now)
-	i.pruneTargets(now)
-}
-
 // missingQuarantines returns the unexpired quarantines of old that list lacks.
 func missingQuarantines(now timer.Instant, old, list []Suspect) []Suspect {
 	var kept []Suspect
@@ -276,36 +266,3 @@
 	}
 	return t
 }
-
-func (i *Isolator) pruneCleared(now timer.Instant) {
-	for f, clearedAt := range i.clearedAt {
-		if now.Sub(clearedAt) >= SuspectTTL {
-			delete(i.clearedAt, f)
-		}
-	}
-}
-
-func (i *Isolator) prunePeers(now timer.Instant) {
-	for host, list := range i.peerSuspects {
-		if !anyUnexpired(list, now) {
-			delete(i.peerSuspects, host)
-		}
-	}
-}
-
-func anyUnexpired(list []Suspect, now timer.Instant) bool {
-	for _, s := range list {
-		if now.Before(s.Until) {
-			return true
-		}
-	}
-	return false
-}
-
-func (i *Isolator) pruneTargets(now timer.Instant) {
-	for name, t := range i.targets {
-		if t.inFlight == 0 && len(t.recentLosses(now, RefuseWindow)) == 0 {
-			delete(i.targets, name)
-		}
-	}
-}
--- /dev/null
+++ b/selector/estimate.go
@@ -0,0 +1,85 @@
+package selector
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// utilization returns the load per slot; a slow target counts as more loaded.
+func (x *search) utilization(t *target) float64 {
+	return t.load(x.now) * t.latencyRatio / float64(t.Slots)
+}
+
+func (x *search) hasFreeSlot(t *target) bool {
+	return t.load(x.now) < float64(t.Slots)
+}
+
+// available reports whether the target has a free slot and is expected to respond in time.
+func (x *search) available(t *target) bool {
+	return t != nil && x.belowColdLimit(t) && x.hasFreeSlot(t) && x.inTime(t)
+}
+
+func (x *search) canQueue(t *target) bool {
+	return t != nil && x.belowColdLimit(t) && t.load(x.now) < maxLoadRatio*float64(t.Slots)
+}
+
+// wait estimates how long the request would wait for a slot of the target.
+func (x *search) wait(t *target) time.Duration {
+	slots := float64(t.Slots)
+	waiting := max(t.load(x.now)+1-slots, 0)
+	return time.Duration(float64(x.serviceLatency) * max(t.latencyRatio, 1) * waiting / slots)
+}
+
+// expectedLatency estimates the time to the response, including the wait.
+func (x *search) expectedLatency(t *target) time.Duration {
+	return x.wait(t) + time.Duration(float64(x.baseLatency)*max(t.latencyRatio, 1))
+}
+
+// inTime reports whether the wait is within maxWait and the response is expected before the
+// timeout. Before the route's first response, only the wait counts.
+func (x *search) inTime(t *target) bool {
+	if x.wait(t) > x.maxWait {
+		return false
+	}
+	return x.svc.route(x.q.Route).latency == 0 || x.expectedLatency(t) < x.q.Timeout
+}
+
+// belowColdLimit reports whether this host may send the target another request now. A target that
+// is not cold has no limit.
+func (x *search) belowColdLimit(t *target) bool {
+	if !t.cold(x.now) || x.svc.config.ColdRate <= 0 {
+		return true
+	}
+	recent := t.coldSent[:0]
+	for _, sentAt := range t.coldSent {
+		if x.now.Sub(sentAt) < coldWindow {
+			recent = append(recent, sentAt)
+		}
+	}
+	t.coldSent = recent
+	return len(recent) < x.s.coldLimit(t, x.svc)
+}
+
+// coldLimit returns how many requests this host may send to a cold target within coldWindow. The
+// limit for all hosts together is divided evenly. If it is lower than the number of hosts, only
+// the hosts that rank first for the target by rendezvous hashing may send a request, one each.
+func (s *Selector) coldLimit(t *target, svc *service) int {
+	limit := int(coldSafetyFraction *
+		(svc.config.ColdRate*max(s.cfg.ColdExcess, 1) + s.cfg.ColdSlack))
+	hosts := max(len(s.hosts), 1)
+	if hosts <= limit {
+		return limit / hosts
+	}
+	score := mix(t.hash ^ xxhash.Sum64String(s.cfg.Host))
+	ahead := 0
+	for _, name := range s.hosts {
+		if name != s.cfg.Host && mix(t.hash^xxhash.Sum64String(name)) > score {
+			ahead++
+		}
+	}
+	if ahead < limit {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/steerer/attempt.go
@@ -0,0 +1,144 @@
+package steerer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/exchanger"
+	"github.com/fescuethread/fescuethread/platform"
+	"github.com/fescuethread/fescuethread/selector"
+)
+
+func failedAttempt(ctx context.Context, err error) *attemptResult {
+	res := &attemptResult{
+		cause:      err.Error(),
+		mayHaveRun: !exchanger.NotRun(err),
+		stale:      errors.Is(err, exchanger.ErrStale),
+	}
+	switch {
+	case errors.Is(err, exchanger.ErrFull):
+		res.outcome = selector.OutcomeShed
+	case ctx.Err() != nil:
+		res.outcome = selector.OutcomeCancelled
+	case !res.mayHaveRun:
+		res.outcome = selector.OutcomeUnreachable
+	default:
+		res.outcome = selector.OutcomeLost
+	}
+	return res
+}
+
+// classify determines the outcome of a response. It discards a response with a Content-Encoding,
+// and one with a status below 500 but without the target's stamp, which something else may have
+// sent.
+func classify(resp *exchanger.Response) *attemptResult {
+	res := &attemptResult{
+		response: resp, mayHaveRun: true, stamped: resp.Header.Get(platform.HeaderStamp) != "",
+	}
+	if load, ok := platform.ParseLoad(resp.Header.Get(platform.HeaderLoad)); ok {
+		res.load = &load
+	}
+	res.leaving = resp.Header.Get(platform.HeaderLeaving) == leavingValue
+	res.readHold(resp)
+	notRun := resp.Header.Get(platform.HeaderNotExecuted) != ""
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest:
+		res.mayHaveRun = false
+		res.outcome = selector.OutcomeMisdirected
+		res.cause = "the address belongs to another target"
+	case notRun:
+		res.mayHaveRun = false
+		res.outcome = selector.OutcomeShed
+		res.cause = "the target did not run the request"
+	case resp.Header.Get("Content-Encoding") != "",
+		resp.Status < http.StatusInternalServerError && !res.stamped:
+		res.response = nil
+		res.outcome = selector.OutcomeLost
+		res.cause = "the response is encoded or lacks the target's stamp"
+	case resp.Status >= http.StatusInternalServerError:
+		res.outcome = selector.OutcomeFailed
+		res.cause = "the target returned a server error"
+	default:
+		res.outcome = selector.OutcomeAnswered
+	}
+	return res
+}
+
+// attemptResult is the result of sending the request to one target.
+type attemptResult struct {
+	outcome  selector.Outcome
+	response *exchanger.Response
+	load     *selector.Load
+	// leaving means that the target is shutting down.
+	leaving bool
+	// holdFor is how long the target wants no requests; 0 if it didn't say.
+	holdFor time.Duration
+	// invalidHold is a Retry-After field that can't be parsed; empty if there is none.
+	invalidHold string
+	// mayHaveRun is false only if the target certainly did not run the request.
+	mayHaveRun bool
+	// stamped means that the response has platform.HeaderStamp, which marks responses of targets.
+	stamped bool
+	// stale means that a reused connection ended before any byte of the response.
+	stale bool
+	// unreachable means that no new connection could be opened after the connection was lost.
+	unreachable bool
+	cause       string
+}
+
+// readHold reads how long the target wants no requests, from the Retry-After of a 503 response.
+func (r *attemptResult) readHold(resp *exchanger.Response) {
+	value := resp.Header.Get("Retry-After")
+	if resp.Status != http.StatusServiceUnavailable || value == "" {
+		return
+	}
+	delay, ok := parseRetryAfter(value, time.Now())
+	if !ok {
+		r.invalidHold = value
+		return
+	}
+	r.holdFor = delay
+}
+
+// usable reports whether the response is returned to the caller without a retry.
+func (r *attemptResult) usable() bool {
+	return r.outcome == selector.OutcomeAnswered
+}
+
+// status returns the status code, or 0 without a response.
+func (r *attemptResult) status() int {
+	if r.response == nil {
+		return 0
+	}
+	return r.response.Status
+}
+
+func (r *attemptResult) result() Result {
+	return Result{
+		Status: r.response.Status,
+		Header: endToEnd(r.response.Header),
+		Body:   r.response.Body,
+		Reason: ReasonAnswered,
+	}
+}
+
+func outcomeName(o selector.Outcome) string {
+	switch o {
+	case selector.OutcomeAnswered:
+		return "answered"
+	case selector.OutcomeFailed:
+		return "failed"
+	case selector.OutcomeShed:
+		return "shed"
+	case selector.OutcomeMisdirected:
+		return "misdirected"
+	case selector.OutcomeLost:
+		return "lost"
+	case selector.OutcomeUnreachable:
+		return "unreachable"
+	}
+	return "cancelled"
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
-	"net/netip"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,112 +186,6 @@
 	return s.run(ctx, r.Context(), q)
 }
 
-// prepare matches the route, sets the deadline, reads the body and picks the service. It returns a
-// rejection and false if the request cannot be served.
-func (s *Steerer) prepare(r *http.Request, q *request) (Result, bool) {
-	q.plan = s.deps.Plans.Plan()
-	if q.plan == nil {
-		return rejection(http.StatusServiceUnavailable, ReasonNoPlan, shortRetryAfter), false
-	}
-	if s.stopping.Load() {
-		return rejection(http.StatusServiceUnavailable, ReasonStopping, shortRetryAfter), false
-	}
-	q.method, q.host, q.header, q.uri = r.Method, r.Host, r.Header, requestTarget(r)
-	path, _, _ := strings.Cut(q.uri, "?")
-	q.route = q.plan.Match(hostName(r.Host), path)
-	if q.route == nil {
-		return rejection(http.StatusNotFound, ReasonNoRoute, 0), false
-	}
-	if !q.route.Idempotent() && !server.AwaitTurn(r.Context()) {
-		return Result{Reason: ReasonCallerDisconnected}, false
-	}
-	timeout, ok := s.timeout(r, q, q.route)
-	if !ok {
-		return rejection(http.StatusBadRequest, ReasonMalformed, 0), false
-	}
-	q.deadline = q.started.Add(timeout)
-	if c, err := r.Cookie(platform.CookieAffinityKey); err == nil && q.route.Sticky {
-		q.affinityKey = c.Value
-	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return rejection(http.StatusBadRequest, ReasonMalformed, 0), false
-	}
-	q.body = body
-	q.service = s.pickService(q.route)
-	return Result{}, true
-}
-
-// requestTarget returns the path and query in the encoding in which the caller sent them.
-func requestTarget(r *http.Request) string {
-	if r.RequestURI != "" {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
-
-// hostName returns the value of a Host header without its port.
-func hostName(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		if _, err := netip.ParseAddrPort(host); err == nil || strings.Count(host, ":") == 1 {
-			return host[:i]
-		}
-	}
-	return host
-}
-
-// isCallerRetry reports whether the caller seems to repeat a request: its timeout is then shorter
-// than the longest one seen on the route, which isCallerRetry also records.
-func (s *Steerer) isCallerRetry(route string, timeout time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	longest := s.longestTimeouts[route]
-	if timeout >= longest {
-		s.longestTimeouts[route] = timeout
-		return false
-	}
-	return timeout < longest*callerRetryPercent/100
-}
-
-// timeout returns how long the request may take, or false if its deadline header is invalid.
-func (s *Steerer) timeout(
-	r *http.Request, q *request, route *planner.Route,
-) (time.Duration, bool) {
-	limit := defaultTimeout
-	if route.Timeout > 0 {
-		limit = route.Timeout
-	}
-	header := r.Header.Get(platform.HeaderDeadline)
-	if header == "" {
-		return limit, true
-	}
-	ms, err := strconv.ParseFloat(header, 64)
-	if err != nil || ms < 0 {
-		return 0, false
-	}
-	timeout := time.Duration(ms * float64(time.Millisecond))
-	q.callerRetry = s.isCallerRetry(route.Name, timeout)
-	if route.Timeout > 0 {
-		return min(timeout, route.Timeout), true
-	}
-	return timeout, true
-}
-
-// pickService picks one of the route's services in proportion to their weights.
-func (s *Steerer) pickService(r *planner.Route) string {
-	if len(r.Services) == 1 {
-		return r.Services[0].Service
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	rr, ok := s.roundRobins[r.Name]
-	if !ok || !rr.matches(r.Services) {
-		rr = newRoundRobin(r.Services)
-		s.roundRobins[r.Name] = rr
-	}
-	return rr.next()
-}
-
 // admit authenticates the request, applies the customer's rate limit and checks the quarantine. It
 // returns a rejection and false if the request is not admitted.
 func (s *Steerer) admit(ctx context.Context, q *request) (Result, bool) {
