--- a/server/connection.go
+++ b/server/connection.go
@@ -31,7 +31,8 @@
 	headerDone atomic.Bool
 	// closeAt is the time at which to close the connection; 0 if it is not to be closed.
 	closeAt atomic.Int64
-	mu      sync.Mutex
+
+	mu sync.Mutex
 	// pending is the number of complete requests whose response was not written.
 	pending int
 	// latest is the turn of the latest complete request; nil before the first one.
