--- a/allocator/doc.go
+++ b/allocator/doc.go
@@ -1,3 +1,3 @@
-// Package allocator makes nbio use plain buffers, which the garbage collector frees: a buffer of
-// its pool can be handed out twice, so that bytes of one connection replace those of another.
+// Package allocator makes nbio use plain buffers, which the garbage collector frees: with those of
+// its pool, the ends of large responses get lost.
 package allocator
