--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -59,10 +59,10 @@
 
 // Fetch implements follower.Peers.
 func (p instrumentedPeers) Fetch(
-	ctx context.Context, peer string, subject follower.Subject,
+	ctx context.Context, peer string, subject follower.Subject, since uint64,
 ) (follower.Content, error) {
 	start := time.Now()
-	content, err := p.Peers.Fetch(ctx, peer, subject)
+	content, err := p.Peers.Fetch(ctx, peer, subject, since)
 	result := "ok"
 	if err != nil {
 		result = "failed"
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -24,8 +24,7 @@
 		b.Proofs = append(b.Proofs, &messenger.Proof{
 			Subject: uint32(s.Subject),
 			Mark:    s.Hash,
-			// Rounded up, so that the summary doesn't look newer than it is.
-			Age: uint32(now.Sub(s.VerifiedAt).Milliseconds()) + 1,
+			Age:     follower.AgeMillis(now, s.VerifiedAt),
 		})
 	}
 	for name, concurrency := range h.selector.Demand(now).Concurrency {
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,10 +110,10 @@
 	}
 }
 
-// Content returns a subject's content for a peer, or false if hosts don't fetch the subject from
-// each other or it was not read yet.
-func (f *Follower) Content(s Subject) (Content, bool) {
-	if s >= subjectCount || !s.relayed() {
+// Content returns a subject's content for a peer, or false if it was not read yet. Of the targets it
+// returns the changes after a revision, which may be 0.
+func (f *Follower) Content(s Subject, since uint64) (Content, bool) {
+	if s >= subjectCount {
 		return Content{}, false
 	}
 	hash, verifiedAt := f.subjects[s].version()
@@ -121,6 +121,8 @@
 	switch s {
 	case SubjectPlan:
 		c.Plan = f.plan.Load()
+	case SubjectTargets:
+		c.Changes = f.entries.changesSince(since)
 	case SubjectEvacuations, SubjectHosts:
 		f.mu.Lock()
 		c.Zones, c.Members = f.evacuatedZones, f.members
@@ -147,7 +149,7 @@
 		if !ok {
 			return nil
 		}
-		if peer != "" && s.relayed() && f.fetch(ctx, s, peer) {
+		if peer != "" && f.fetch(ctx, s, peer) {
 			continue
 		}
 		err := f.read(ctx, s)
@@ -200,35 +202,40 @@
 	return nil
 }
 
-// fetch fetches a subject from a peer, applies it if it is newer and reports whether it was.
+// fetch fetches a subject from a peer and applies it if it is newer. It returns false if the store
+// has to be read instead: the call failed, or the peer doesn't hold what it has announced.
 func (f *Follower) fetch(ctx context.Context, s Subject, peer string) bool {
 	state := f.subjects[s]
-	c, err := f.peers.Fetch(ctx, peer, s)
+	c, err := f.peers.Fetch(ctx, peer, s, f.entries.held())
 	if err != nil {
 		f.log.Log(eventPeerFetchFailed, logger.F("reads", s.String()), logger.F("peer", peer),
 			logger.F("cause", err.Error()))
 		return false
 	}
 	if _, verifiedAt := state.version(); c.Summary.VerifiedAt <= verifiedAt {
-		return false
+		// Another peer, or the store, was faster.
+		return true
 	}
 	hash, ok := f.useContent(s, c)
 	if !ok {
 		return false
 	}
-	state.update(hash, c.Summary.VerifiedAt)
+	if state.update(hash, c.Summary.VerifiedAt) {
+		f.sink.AnnounceSoon()
+	}
 	f.log.Log(eventPeerFetched, logger.F("reads", s.String()), logger.F("peer", peer),
 		logger.F("age_ms", timer.Now().Sub(c.Summary.VerifiedAt).Milliseconds()))
 	return true
 }
 
-// useContent applies a peer's content and returns its hash, or false if the current plan is newer
-// than the peer's or the subject is not relayed.
+// useContent applies a peer's content and returns its hash, or false if this host's is newer.
 func (f *Follower) useContent(s Subject, c Content) (uint64, bool) {
 	switch s {
 	case SubjectPlan:
 		hash := f.usePlan(c.Plan, c.Summary.VerifiedAt)
 		return hash, hash == c.Plan.Version()
+	case SubjectTargets:
+		return f.useTargets(c)
 	case SubjectEvacuations:
 		return f.useEvacuations(c.Zones), true
 	case SubjectHosts:
@@ -237,6 +244,16 @@
 	return 0, false
 }
 
+// useTargets applies a peer's changes of the targets. It returns false if the result isn't what the
+// peer has: the entries may hold an older change of another peer that isn't in the peer's log.
+func (f *Follower) useTargets(c Content) (uint64, bool) {
+	if f.entries.applyRelayed(timer.Now(), c.Changes) {
+		f.sink.UseTargets(f.entries.list())
+	}
+	hash := f.entries.hash()
+	return hash, hash == c.Summary.Hash
+}
+
 // outage reports whether the targets were last verified so long ago that entries may have expired
 // in an outage of the store although their targets are running.
 func (f *Follower) outage() bool {
--- a/follower/source.go
+++ b/follower/source.go
@@ -42,6 +42,9 @@
 	Target selector.Target
 	// Removed reports whether the entry was deleted or is now invalid.
 	Removed bool
+	// Missing reports that the entry was missing after an outage of the store; it is then kept for a
+	// grace period.
+	Missing bool
 	// Err says why the content is invalid; it is nil if it is valid.
 	Err error
 }
@@ -52,6 +55,8 @@
 	Changed []Change
 	// Revision is the store's revision after the changes.
 	Revision uint64
+	// Complete reports that the changes are all entries there are, in place of those after a revision.
+	Complete bool
 }
 
 // Store is a client of the platform's store.
@@ -79,12 +84,15 @@
 	Zones []string
 	// Members is the content of SubjectHosts.
 	Members []announcer.Member
+	// Changes is the content of SubjectTargets: the changes since the revision that was asked for, or
+	// all entries.
+	Changes Changes
 }
 
 // Peers calls the other hosts.
 type Peers interface {
-	// Fetch returns a peer's content of a subject.
-	Fetch(ctx context.Context, peer string, s Subject) (Content, error)
+	// Fetch returns a peer's content of a subject; of the targets, the changes after a revision.
+	Fetch(ctx context.Context, peer string, s Subject, since uint64) (Content, error)
 }
 
 // Sink applies what was read.
--- a/follower/subject.go
+++ b/follower/subject.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -41,12 +42,6 @@
 	return "unknown"
 }
 
-// relayed reports whether hosts fetch the subject from each other. Each host reads the targets
-// from the store, so that a list that has missed a change doesn't spread to all hosts.
-func (s Subject) relayed() bool {
-	return s != SubjectTargets
-}
-
 // Subjects returns all subjects.
 func Subjects() []Subject {
 	all := make([]Subject, 0, subjectCount)
@@ -180,6 +175,12 @@
 	}
 }
 
+// AgeMillis returns the time since an instant in whole milliseconds, rounded up, so that a
+// verification never looks newer than it is to the peer that gets its age.
+func AgeMillis(now, at timer.Instant) uint32 {
+	return uint32(min(now.Sub(at).Milliseconds()+1, math.MaxUint32))
+}
+
 // untilDue returns the time until the next read; it is not positive if the read is due.
 func (s *subjectState) untilDue(now timer.Instant) time.Duration {
 	s.mu.Lock()
--- a/relayer/decode.go
+++ b/relayer/decode.go
@@ -10,6 +10,7 @@
 	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/messenger"
 	"github.com/fescuethread/fescuethread/planner"
+	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -27,7 +28,8 @@
 			Subject: subject, Hash: m.GetMark(),
 			VerifiedAt: requestedAt.Add(-time.Duration(m.GetAge()) * time.Millisecond),
 		},
-		Zones: m.GetZones(),
+		Zones:   m.GetZones(),
+		Changes: decodeTargets(&m),
 	}
 	for _, h := range m.GetMembers() {
 		c.Members = append(c.Members, announcer.Member{
@@ -116,3 +118,19 @@
 	}
 	return c, nil
 }
+
+func decodeTargets(m *messenger.Content) follower.Changes {
+	c := follower.Changes{Revision: m.GetRevision(), Complete: m.GetWhole()}
+	for _, t := range m.GetTargets() {
+		change := follower.Change{Name: t.GetId(), Removed: t.GetRemoved(), Missing: t.GetMissing()}
+		if !change.Removed {
+			change.Target = selector.Target{
+				ID: t.GetId(), Service: t.GetService(), Address: t.GetAddress(), Zone: t.GetZone(),
+				Slots: int(t.GetSlots()), Draining: t.GetDraining(),
+				ColdRemaining: time.Duration(t.GetCold()), StartMillis: t.GetStart(),
+			}
+		}
+		c.Changed = append(c.Changed, change)
+	}
+	return c
+}
--- a/relayer/encode.go
+++ b/relayer/encode.go
@@ -8,13 +8,13 @@
 )
 
 // encode encodes content with its age in place of VerifiedAt, since each host has its own clock.
-// The age is rounded up, so that the content never appears newer than it is.
 func encode(now timer.Instant, c follower.Content) *messenger.Content {
 	m := &messenger.Content{
 		Mark:  c.Summary.Hash,
-		Age:   uint32(now.Sub(c.Summary.VerifiedAt).Milliseconds()) + 1,
+		Age:   follower.AgeMillis(now, c.Summary.VerifiedAt),
 		Zones: c.Zones,
 	}
+	encodeTargets(m, c.Changes)
 	if c.Plan != nil {
 		m.Plan = encodePlan(c.Plan)
 	}
@@ -75,3 +75,15 @@
 	}
 	return m
 }
+
+func encodeTargets(m *messenger.Content, c follower.Changes) {
+	m.Revision, m.Whole = c.Revision, c.Complete
+	for _, change := range c.Changed {
+		t := change.Target
+		m.Targets = append(m.Targets, &messenger.TargetContent{
+			Id: change.Name, Service: t.Service, Address: t.Address, Zone: t.Zone, Slots: int32(t.Slots),
+			Draining: t.Draining, Cold: int64(t.ColdRemaining), Start: t.StartMillis,
+			Removed: change.Removed, Missing: change.Missing,
+		})
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -21,8 +21,9 @@
 
 // Source provides this host's copy of the store's content.
 type Source interface {
-	// Content returns the content of a subject; it reports false if the host has none.
-	Content(subject follower.Subject) (follower.Content, bool)
+	// Content returns the content of a subject, of the targets the changes after a revision; it reports
+	// false if the host has none.
+	Content(subject follower.Subject, since uint64) (follower.Content, bool)
 }
 
 // Relayer fetches content from peers.
@@ -39,7 +40,7 @@
 // Fetch implements follower.Peers. The content's VerifiedAt is the time before the call less the
 // age that the peer reports, so that the content never appears newer than it is.
 func (r *Relayer) Fetch(
-	ctx context.Context, peer string, subject follower.Subject,
+	ctx context.Context, peer string, subject follower.Subject, since uint64,
 ) (follower.Content, error) {
 	address, ok := r.find(peer)
 	if !ok {
@@ -48,7 +49,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	requestedAt := timer.Now()
-	d, err := r.pool.Fetch(ctx, address, &messenger.DocumentQuery{Name: subject.String()})
+	d, err := r.pool.Fetch(ctx, address, &messenger.DocumentQuery{
+		Name: subject.String(), Since: since,
+	})
 	if err != nil {
 		return follower.Content{}, &Error{Op: "fetch from " + peer, Kind: KindCall, Err: err}
 	}
@@ -73,7 +76,7 @@
 	if !ok {
 		return nil, &Error{Op: "fetch " + q.GetName(), Kind: KindUnknown}
 	}
-	content, ok := h.source.Content(subject)
+	content, ok := h.source.Content(subject, q.GetSince())
 	if !ok {
 		return nil, &Error{Op: "fetch " + q.GetName(), Kind: KindUnknown}
 	}
