--- a/server/server.go
+++ b/server/server.go
@@ -270,7 +270,7 @@
 	// response.
 	last := r.Close
 	r.Close = false
-	response := &bufferedResponse{header: http.Header{}}
+	response := &bufferedResponse{ctx: r.Context(), header: http.Header{}}
 	s.handle(response, r)
 	if !t.await(r.Context()) {
 		return
@@ -290,7 +290,9 @@
 		if recovered == nil {
 			return
 		}
-		*w = bufferedResponse{header: http.Header{}, status: http.StatusInternalServerError}
+		*w = bufferedResponse{
+			ctx: r.Context(), header: http.Header{}, status: http.StatusInternalServerError,
+		}
 		if s.cfg.OnPanic != nil {
 			s.cfg.OnPanic(recovered)
 		}
--- a/server/turn.go
+++ b/server/turn.go
@@ -49,6 +49,8 @@
 
 // bufferedResponse holds a response until it is its turn to be written.
 type bufferedResponse struct {
+	// ctx is the request's context; it ends when the caller has left.
+	ctx    context.Context
 	header http.Header
 	status int
 	body   bytes.Buffer
@@ -66,9 +68,12 @@
 	}
 }
 
-// Write implements http.ResponseWriter.
+// Write implements http.ResponseWriter; it fails if the caller has left.
 func (b *bufferedResponse) Write(data []byte) (int, error) {
 	b.WriteHeader(http.StatusOK)
+	if err := b.ctx.Err(); err != nil {
+		return 0, err
+	}
 	return b.body.Write(data)
 }
 
