review: uploads lost at a planned stop

Case 2, with the stand-ins that the other scripts share. An upstream that works for 2 s before it reads the rest of an upload has its connection reset by the host after 1.7 s; the client gets 502.

--- /dev/null
+++ b/review/stand/client.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+var requestNumber atomic.Int64
+
+// client is a client with one kept connection to a host.
+type client struct {
+	front string
+	// key is the API key; empty stands for apiKey.
+	key  string
+	conn net.Conn
+	in   *bufio.Reader
+	// served is the number of answers on the connection.
+	served int
+	// wrap opens a connection; nil opens a plain one.
+	wrap func(address string) (net.Conn, error)
+}
+
+// result is what a client saw of one request.
+type result struct {
+	id       string
+	sent     time.Time
+	kept     bool
+	status   int
+	header   http.Header
+	body     []byte
+	unserved bool // the connection could not be opened
+	err      error
+}
+
+func nextID() string {
+	return fmt.Sprintf("%016x", requestNumber.Add(1))
+}
+
+// do sends one request and reads its answer.
+func (c *client) do(method, path, body string, deadline time.Duration) result {
+	r := result{id: nextID(), sent: time.Now()}
+	if c.conn == nil {
+		open := c.wrap
+		if open == nil {
+			open = func(address string) (net.Conn, error) {
+				return net.DialTimeout("tcp", address, time.Second)
+			}
+		}
+		conn, err := open(c.front)
+		if err != nil {
+			r.unserved, r.err = true, err
+			return r
+		}
+		c.conn, c.in, c.served = conn, bufio.NewReader(conn), 0
+	}
+	r.kept = c.served > 0
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Key: %s\r\nX-Request-Deadline: %d\r\n",
+		method, path, hostHeader, r.id, cmp.Or(c.key, apiKey), deadline.Milliseconds())
+	if method != http.MethodGet {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
+	}
+	b.WriteString("\r\n" + body)
+	if _, r.err = c.conn.Write([]byte(b.String())); r.err != nil {
+		c.close()
+		return r
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(deadline + 2*time.Second))
+	resp, err := http.ReadResponse(c.in, &http.Request{Method: method})
+	if err != nil {
+		r.err = err
+		c.close()
+		return r
+	}
+	r.status, r.header = resp.StatusCode, resp.Header
+	r.body, r.err = io.ReadAll(resp.Body)
+	c.served++
+	if r.err != nil || resp.Close {
+		c.close()
+	}
+	return r
+}
+
+func (c *client) close() {
+	if c.conn != nil {
+		c.conn.Close()
+		c.conn = nil
+	}
+}
