review: empty 200 answers at a planned stop

While a host closes its connections at its end, a request that it still reads gets "200 OK" without a body or a stamp, and never ran.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -43,22 +44,30 @@
 	return fmt.Sprintf("%016x", requestNumber.Add(1))
 }
 
-// do sends one request and reads its answer.
+// dial opens the connection.
+func (c *client) dial() error {
+	open := c.wrap
+	if open == nil {
+		open = func(address string) (net.Conn, error) {
+			return net.DialTimeout("tcp", address, time.Second)
+		}
+	}
+	conn, err := open(c.front)
+	if err != nil {
+		return err
+	}
+	c.conn, c.in, c.served = conn, bufio.NewReader(conn), 0
+	return nil
+}
+
+// do sends one request and reads its answer; it opens a connection if there is none.
 func (c *client) do(method, path, body string, deadline time.Duration) result {
 	r := result{id: nextID(), sent: time.Now()}
 	if c.conn == nil {
-		open := c.wrap
-		if open == nil {
-			open = func(address string) (net.Conn, error) {
-				return net.DialTimeout("tcp", address, time.Second)
-			}
-		}
-		conn, err := open(c.front)
-		if err != nil {
-			r.unserved, r.err = true, err
+		if r.err = c.dial(); r.err != nil {
+			r.unserved = true
 			return r
 		}
-		c.conn, c.in, c.served = conn, bufio.NewReader(conn), 0
 	}
 	r.kept = c.served > 0
 	var b strings.Builder
@@ -88,6 +97,15 @@
 	return r
 }
 
+// closedByPeer reports whether the host has closed the idle connection.
+func (c *client) closedByPeer() bool {
+	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
+	_, err := c.in.Peek(1)
+	_ = c.conn.SetReadDeadline(time.Time{})
+	var timeout net.Error
+	return !errors.As(err, &timeout) || !timeout.Timeout()
+}
+
 func (c *client) close() {
 	if c.conn != nil {
 		c.conn.Close()
