limiter, exchanger: count the bytes of responses that are being received

Three causes fit what is seen: bodies beyond their budget, bytes that wait in the parser, and requests that wait. Neither logs nor metrics told them apart: only complete pieces of bodies were counted, by nothing that is exported.

New package limiter counts bytes over all connections (it can also bound them, which nothing uses yet); the exchanger counts each byte of a response from its arrival to the end of the exchange, and fescuethread_transit_bytes{of="responses"} exports the sum.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -15,6 +15,7 @@
 	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/isolator"
 	"github.com/fescuethread/fescuethread/launcher"
+	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/platform"
 	"github.com/fescuethread/fescuethread/relayer"
@@ -67,25 +68,27 @@
 
 // Host is one host of the system.
 type Host struct {
-	settings     Settings
-	self         announcer.Member
-	incarnation  uint64
-	log          *logger.Logger
-	logWriter    *logger.AsyncWriter
-	kernel       *launcher.Kernel
-	timer        *timer.Service
-	cancel       context.CancelFunc
-	store        *platform.Store
-	client       *exchanger.Client
-	exchanger    *exchanger.Exchanger
-	roster       *announcer.Roster
-	announcer    *announcer.Announcer
-	follower     *follower.Follower
-	peerPool     *connector.Pool
-	peerServer   *connector.Server
-	selector     *selector.Selector
-	sharer       *sharer.Sharer
-	isolator     *isolator.Isolator
+	settings    Settings
+	self        announcer.Member
+	incarnation uint64
+	log         *logger.Logger
+	logWriter   *logger.AsyncWriter
+	kernel      *launcher.Kernel
+	timer       *timer.Service
+	cancel      context.CancelFunc
+	store       *platform.Store
+	client      *exchanger.Client
+	exchanger   *exchanger.Exchanger
+	roster      *announcer.Roster
+	announcer   *announcer.Announcer
+	follower    *follower.Follower
+	peerPool    *connector.Pool
+	peerServer  *connector.Server
+	selector    *selector.Selector
+	sharer      *sharer.Sharer
+	isolator    *isolator.Isolator
+	// responses counts the bytes of responses that are being received.
+	responses    *limiter.Limiter
 	sender       *steerer.Sender
 	steerer      *steerer.Steerer
 	callerServer *server.Server
@@ -165,7 +168,8 @@
 
 func (h *Host) buildComponents(context.Context) error {
 	stats := steerer.NewStats()
-	e, err := exchanger.New(exchanger.Limits{})
+	h.responses = limiter.New(0)
+	e, err := exchanger.New(exchanger.Limits{Transit: h.responses})
 	if err != nil {
 		return err
 	}
@@ -193,7 +197,7 @@
 	h.follower = follower.New(h.store,
 		instrumentedPeers{relayer.New(h.peerPool, h.peerAddress)}, sink{h},
 		changeTimeout(h.settings.Bounds), h.log)
-	if h.sender, err = steerer.NewSender(); err != nil {
+	if h.sender, err = steerer.NewSender(h.responses); err != nil {
 		return err
 	}
 	h.steerer = steerer.New(steerer.Config{
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -35,6 +35,9 @@
 		}
 		return float64(live)
 	})
+	metrics.GetOrCreateGauge(`fescuethread_transit_bytes{of="responses"}`, func() float64 {
+		return float64(h.responses.UsedBytes())
+	})
 	for _, subject := range follower.Subjects() {
 		name := fmt.Sprintf("fescuethread_proof_age_seconds{reads=%q}", subject)
 		metrics.GetOrCreateGauge(name, func() float64 { return h.verificationAge(subject) })
--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -7,6 +7,8 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/limiter"
 )
 
 // MaxInterimResponses is the number of interim responses (1xx) accepted before the final one.
@@ -22,6 +24,7 @@
 	parser       *nbhttp.Parser
 	head         headCheck
 	buffered     *bufferBudget
+	account      *limiter.Account
 	response     Response
 	headerSize   int
 	interimCount int
@@ -43,6 +46,7 @@
 		limits:   limits,
 		head:     headCheck{maxBytes: limits.MaxHeaderBytes},
 		buffered: buffered,
+		account:  limits.Transit.Open(nil),
 		done:     make(chan struct{}),
 	}
 	c.response.Header = http.Header{}
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -92,6 +92,7 @@
 		c.closed = true
 		return ErrUnsolicited
 	}
+	c.current.account.Take(len(data))
 	err := c.current.feed(data)
 	if err != nil {
 		c.closed = true
@@ -185,6 +186,7 @@
 	cl := c.current
 	c.current = nil
 	c.exchanger.buffered.release(len(cl.response.Body))
+	cl.account.Close()
 	if cl.err != nil || cl.closeAfter {
 		c.closed = true
 	}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -12,6 +12,8 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"github.com/fescuethread/fescuethread/limiter"
+
 	_ "github.com/fescuethread/fescuethread/allocator" // Sets the buffers of nbio.
 )
 
@@ -38,6 +40,9 @@
 	MaxHeaderBytes int
 	// MaxBufferedBytes is the maximum size of the bodies of all responses that are being received.
 	MaxBufferedBytes int
+	// Transit counts the bytes of all responses that are being received; nil stands for a limiter of
+	// the exchanger's own.
+	Transit *limiter.Limiter
 	// AllowCloseDelimited accepts close-delimited responses: without a length, the end of the
 	// connection marks the end of the body.
 	AllowCloseDelimited bool
@@ -65,6 +70,9 @@
 	if limits.MaxBufferedBytes <= 0 {
 		limits.MaxBufferedBytes = DefaultMaxBufferedBytes
 	}
+	if limits.Transit == nil {
+		limits.Transit = limiter.New(0)
+	}
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Name:               "exchanger",
 		NPoller:            1,
--- a/steerer/sender.go
+++ b/steerer/sender.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/fescuethread/fescuethread/exchanger"
+	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/platform"
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
@@ -76,10 +77,11 @@
 }
 
 // NewSender returns a sender without connections, or an error if its event loop cannot start.
-func NewSender() (*Sender, error) {
+// Responses of targets are counted in transit.
+func NewSender(transit *limiter.Limiter) (*Sender, error) {
 	e, err := exchanger.New(exchanger.Limits{
 		MaxBodyBytes: maxResponseBytes, MaxHeaderBytes: maxResponseHeaderBytes,
-		AllowCloseDelimited: true,
+		AllowCloseDelimited: true, Transit: transit,
 	})
 	if err != nil {
 		return nil, errors.WithMessage(err, "steerer: sender")
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -17,6 +17,7 @@
 	"github.com/lesismal/nbio/logging"
 
 	"github.com/fescuethread/fescuethread/isolator"
+	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/platform"
@@ -149,7 +150,7 @@
 
 func newFixture(t *testing.T, targets ...*fakeTarget) *fixture {
 	t.Helper()
-	sender, err := NewSender()
+	sender, err := NewSender(limiter.New(0))
 	if err != nil {
 		t.Fatal(err)
 	}
