server: close the connection of a request that can't be answered

Cause: Run cancelled the requests' contexts, then closed the connections one by one. A request that was read in between found its context ended, and serve returned without writing; nbhttp completes such an exchange with an empty 200. The new metric fescuethread_requests_aborted_total counts these exchanges, to tell them from a handler or a target that answers an empty 200.

Now an exchange without an answer closes its connection, wherever it comes from. Run closes each connection as it has no request, under the lock that a new request takes, so what is read is answered and what comes later isn't read; the contexts end after the connections. The count of requests that ran beside Wait is gone with it.

TestEndedServerNeverAnswersForItsHandler failed before: "got 200 OK, want the connection closed".

--- a/conductor/listen.go
+++ b/conductor/listen.go
@@ -26,6 +26,7 @@
 		IdleTimeout:         defaultIdleTimeout + idleMargin,
 		CurrentLimits:       h.callerLimits,
 		OnPanic:             h.logPanic,
+		OnAbort:             requestsAborted.Inc,
 	}, h.steerer)
 	if err != nil {
 		return err
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -14,6 +14,9 @@
 // linesDropped counts the log lines that were dropped.
 var linesDropped = metrics.GetOrCreateCounter("fescuethread_log_lines_dropped_total")
 
+// requestsAborted counts the requests whose connection was closed without a response.
+var requestsAborted = metrics.GetOrCreateCounter("fescuethread_requests_aborted_total")
+
 // neverVerified is the age, in seconds, that is exported before the first verification.
 const neverVerified = -1
 
--- a/server/config.go
+++ b/server/config.go
@@ -22,6 +22,9 @@
 	CurrentLimits func() Limits
 	// OnPanic is called if the handler panics, with the recovered value; it may be nil.
 	OnPanic func(recovered interface{})
+	// OnAbort is called when a request ends without a response, because its caller has left or the
+	// server has ended; it may be nil.
+	OnAbort func()
 }
 
 // Limits are the limits that may change while the server runs.
--- a/server/connection.go
+++ b/server/connection.go
@@ -92,9 +92,7 @@
 	c.mu.Lock()
 	t := c.latest
 	c.mu.Unlock()
-	c.server.activeRequests.Add(1)
 	go func() {
-		defer c.server.activeRequests.Done()
 		f()
 		c.end(t)
 	}()
@@ -139,6 +137,33 @@
 	return true
 }
 
+// retirement is what retire has found.
+type retirement uint8
+
+const (
+	// retireNow means that the connection has no request; none that arrives later is read.
+	retireNow retirement = iota
+	// retirePending means that requests are pending.
+	retirePending
+	// retireLingering means that the caller may still be reading the last response.
+	retireLingering
+)
+
+// retire ends the connection of a server that shuts down, unless it has a request or its last
+// response may still be on its way.
+func (c *connection) retire() retirement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.pending > 0:
+		return retirePending
+	case c.closing || c.refused.Load():
+		return retireLingering
+	}
+	c.closing = true
+	return retireNow
+}
+
 // afterClose runs f when no request is pending; the connection has closed.
 func (c *connection) afterClose(f func()) {
 	c.mu.Lock()
--- a/server/pipeline_test.go
+++ b/server/pipeline_test.go
@@ -271,3 +271,21 @@
 		t.Fatal(err)
 	}
 }
+
+// TestEndedServerNeverAnswersForItsHandler guards against a success that no handler gave: a request
+// that arrives as the server ends closes its connection, and the handler isn't answered for.
+func TestEndedServerNeverAnswersForItsHandler(t *testing.T) {
+	s := start(t, 10, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	conn, r := dial(t, s)
+	write(t, conn, pipelined(1))
+	if resp, _ := readResponse(t, r); resp.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("status %d", resp.StatusCode)
+	}
+	s.cancel()
+	write(t, conn, pipelined(1))
+	if resp, err := http.ReadResponse(r, nil); err == nil {
+		t.Fatalf("got %s, want the connection closed", resp.Status)
+	}
+}
--- a/server/server.go
+++ b/server/server.go
@@ -24,7 +24,6 @@
 	listener           net.Listener
 	openConns          atomic.Int64
 	keepAlivesDisabled atomic.Bool
-	activeRequests     sync.WaitGroup
 	conns              sync.Map // *nbio.Conn to *connection
 	baseCtx            context.Context
 	cancel             context.CancelFunc
@@ -61,8 +60,8 @@
 	sweeping.Go(s.sweep)
 	started := time.Now()
 	err := s.accept()
-	s.activeRequests.Wait()
-	s.awaitLastResponses()
+	s.keepAlivesDisabled.Store(true)
+	s.drain()
 	s.cancel()
 	s.closeAll()
 	// Stop blocks forever if it is called before the pollers run.
@@ -204,22 +203,44 @@
 	return c
 }
 
-// awaitLastResponses waits until the callers have closed the connections whose last response was
-// written, for at most closeTimeout: to close them sooner may truncate a response.
-func (s *Server) awaitLastResponses() {
-	for end := time.Now().Add(closeTimeout); time.Now().Before(end); time.Sleep(closePollInterval) {
-		lingering := false
-		s.conns.Range(func(_, v interface{}) bool {
-			c, ok := v.(*connection)
-			lingering = ok && c.closeAt.Load() != 0
-			return !lingering
-		})
-		if !lingering {
+// drain closes each connection once it has no request: those that still arrive are answered. It
+// waits for all requests, and then for at most closeTimeout until the callers have closed the
+// connections whose last response was written: to close them sooner may truncate a response.
+func (s *Server) drain() {
+	end := time.Now().Add(closeTimeout)
+	for {
+		pending, lingering := s.closeIdle()
+		if pending {
+			end = time.Now().Add(closeTimeout)
+		}
+		if !pending && (!lingering || time.Now().After(end)) {
 			return
 		}
+		time.Sleep(closePollInterval)
 	}
 }
 
+// closeIdle closes all connections without requests. It reports whether requests are pending, and
+// whether last responses are still being read.
+func (s *Server) closeIdle() (pending, lingering bool) {
+	s.conns.Range(func(_, v interface{}) bool {
+		c, ok := v.(*connection)
+		if !ok {
+			return true
+		}
+		switch c.retire() {
+		case retirePending:
+			pending = true
+		case retireLingering:
+			lingering = true
+		case retireNow:
+			_ = c.raw.Close()
+		}
+		return true
+	})
+	return pending, lingering
+}
+
 func (s *Server) closeAll() {
 	s.conns.Range(func(_, c interface{}) bool {
 		if conn, ok := c.(*connection); ok {
@@ -260,10 +281,13 @@
 	*r = *r.WithContext(withArrival(ctx, timer.Instant(c.arrivedAt.Load())))
 }
 
-// serve runs the handler and writes its response when it is the request's turn.
+// serve runs the handler and writes its response when it is the request's turn. A request that
+// can't be answered any more ends its connection: nbhttp would complete the exchange with an empty
+// response 200.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	t := turnOf(r.Context())
 	if t == nil {
+		s.abort(w)
 		return
 	}
 	// nbhttp would close the connection without waiting for its write queue, which truncates the
@@ -273,6 +297,7 @@
 	response := &bufferedResponse{ctx: r.Context(), header: http.Header{}}
 	s.handle(response, r)
 	if !t.await(r.Context()) {
+		s.abort(w)
 		return
 	}
 	if t.conn.closesAfter(last || s.keepAlivesDisabled.Load()) {
@@ -282,6 +307,16 @@
 	_ = t.conn.raw.SetWriteDeadline(time.Now().Add(s.cfg.IdleTimeout))
 }
 
+// abort closes the connection of a request instead of answering it.
+func (s *Server) abort(w http.ResponseWriter) {
+	if s.cfg.OnAbort != nil {
+		s.cfg.OnAbort()
+	}
+	if res, ok := w.(*nbhttp.Response); ok && res.Parser.Conn != nil {
+		_ = res.Parser.Conn.Close()
+	}
+}
+
 // handle runs the handler. If it panics, the caller gets 500, which promises nothing about the
 // request, and the other requests go on.
 func (s *Server) handle(w *bufferedResponse, r *http.Request) {
