exchanger: bound all bytes of responses, whatever they are

Bodies don't go through the parser any more. They are read by their length, to the end of the connection or by the new package decoder, which keeps nothing and refuses endless size lines, extensions and trailers. All bytes of all responses count towards one limit, 1/16 of host.memory; beyond it the largest response is given up. The budget for bodies is gone; TestAllBodiesShareOneBudget is replaced by TestAllResponsesShareOneLimit, which also counts what is no whole body. It and TestBytesThatAreNoBodyEndTheExchange failed before: the exchanges waited for their deadlines.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -41,6 +41,11 @@
 	// memoryLimitFraction is the Go runtime's memory limit as a fraction of host.memory; near the
 	// limit the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// responsesFraction is the part of host.memory that responses may take while they are received
+	// and until callers have read them; two copies of each may exist besides.
+	responsesFraction = 1.0 / 16
+	// defaultMemoryMiB stands for host.memory where it is 0.
+	defaultMemoryMiB = 256
 	// reservedFiles is the number of file descriptors not used for callers' connections.
 	reservedFiles = 800
 	// minCallerConnections is the smallest limit on callers' connections.
@@ -87,7 +92,7 @@
 	selector    *selector.Selector
 	sharer      *sharer.Sharer
 	isolator    *isolator.Isolator
-	// responses counts the bytes of responses that are being received.
+	// responses bounds the bytes of responses in transit.
 	responses    *limiter.Limiter
 	sender       *steerer.Sender
 	steerer      *steerer.Steerer
@@ -168,7 +173,7 @@
 
 func (h *Host) buildComponents(context.Context) error {
 	stats := steerer.NewStats()
-	h.responses = limiter.New(0)
+	h.responses = limiter.New(h.memoryPart(responsesFraction))
 	e, err := exchanger.New(exchanger.Limits{Transit: h.responses})
 	if err != nil {
 		return err
@@ -220,6 +225,15 @@
 	return err
 }
 
+// memoryPart returns a part of the memory that the process may use, in bytes.
+func (h *Host) memoryPart(fraction float64) int64 {
+	memory := h.settings.Host.Memory
+	if memory <= 0 {
+		memory = defaultMemoryMiB
+	}
+	return int64(fraction * float64(memory<<20))
+}
+
 // changeTimeout returns the time within which every change in the store must take effect: the
 // shortest of the bounds that are set, and at most defaultChangeTimeout.
 func changeTimeout(b platform.Bounds) time.Duration {
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/fescuethread/fescuethread/follower"
+	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -38,15 +39,27 @@
 		}
 		return float64(live)
 	})
-	metrics.GetOrCreateGauge(`fescuethread_transit_bytes{of="responses"}`, func() float64 {
-		return float64(h.responses.UsedBytes())
-	})
+	exportLimiter("responses", h.responses)
 	for _, subject := range follower.Subjects() {
 		name := fmt.Sprintf("fescuethread_proof_age_seconds{reads=%q}", subject)
 		metrics.GetOrCreateGauge(name, func() float64 { return h.verificationAge(subject) })
 	}
 }
 
+// exportLimiter registers the gauges of the bytes in transit that l bounds.
+func exportLimiter(of string, l *limiter.Limiter) {
+	for name, value := range map[string]func() int64{
+		"fescuethread_transit_bytes":           l.UsedBytes,
+		"fescuethread_transit_peak_bytes":      l.PeakBytes,
+		"fescuethread_transit_limit_bytes":     l.MaxBytes,
+		"fescuethread_transit_evictions_total": l.Evictions,
+	} {
+		metrics.GetOrCreateGauge(fmt.Sprintf("%s{of=%q}", name, of), func() float64 {
+			return float64(value())
+		})
+	}
+}
+
 // verificationAge returns the seconds since the subject was verified against the store.
 func (h *Host) verificationAge(subject follower.Subject) float64 {
 	for _, s := range h.follower.Summaries() {
--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -8,6 +8,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"github.com/fescuethread/fescuethread/decoder"
 	"github.com/fescuethread/fescuethread/limiter"
 )
 
@@ -17,13 +18,14 @@
 // call collects the response to one request from the parser's callbacks. The connection's mutex
 // guards it.
 type call struct {
-	method       string
-	id           string
-	idHeader     string
-	limits       Limits
-	parser       *nbhttp.Parser
-	head         headCheck
-	buffered     *bufferBudget
+	method   string
+	id       string
+	idHeader string
+	limits   Limits
+	// parser parses the heads; bodies don't go through it, because it keeps what it can't parse yet.
+	parser *nbhttp.Parser
+	head   headCheck
+	// account holds the bytes that were received.
 	account      *limiter.Account
 	response     Response
 	headerSize   int
@@ -32,23 +34,28 @@
 	finished     bool
 	// closeAfter is set when the connection can't be reused after this exchange.
 	closeAfter bool
+	// bytesLeft is the number of bytes that a body of known length lacks.
+	bytesLeft int
+	// chunked decodes a chunked body; nil if the body isn't chunked.
+	chunked *decoder.Chunked
 	// closeDelimited is set when the end of the connection marks the end of the body.
 	closeDelimited bool
 	err            error
 	done           chan struct{}
 }
 
-func newCall(r *Request, limits Limits, buffered *bufferBudget) *call {
+// newCall returns the call for the response to r. If all responses together exceed their limit and
+// this one is the largest, onEvict is called in a goroutine of its own.
+func newCall(r *Request, limits Limits, onEvict func(*call)) *call {
 	c := &call{
 		method:   r.Method,
 		id:       r.ID,
 		idHeader: r.idHeader(),
 		limits:   limits,
 		head:     headCheck{maxBytes: limits.MaxHeaderBytes},
-		buffered: buffered,
-		account:  limits.Transit.Open(nil),
 		done:     make(chan struct{}),
 	}
+	c.account = limits.Transit.Open(func() { onEvict(c) })
 	c.response.Header = http.Header{}
 	return c
 }
@@ -56,14 +63,18 @@
 // feed parses data. The connection can't be used again after an error.
 func (c *call) feed(data []byte) error {
 	c.started = true
+	if !c.account.Take(len(data)) {
+		c.fail(ErrEvicted)
+		return ErrEvicted
+	}
 	rest, err := c.feedHead(data)
-	if err == nil && len(rest) > 0 {
-		err = c.feedBody(rest)
+	if err == nil {
+		rest, err = c.feedBody(rest)
 	}
 	if !c.finished {
 		return c.reject(err)
 	}
-	if err != nil || c.err != nil || c.closeAfter || !c.atMessageBoundary() {
+	if err != nil || c.err != nil || c.closeAfter || len(rest) > 0 {
 		c.closeAfter = true
 		return ErrUnsolicited
 	}
@@ -86,18 +97,57 @@
 	return data, nil
 }
 
-// feedBody parses what follows the head. A close-delimited body doesn't go through the parser: it
-// assumes that a response without a length has no body.
-func (c *call) feedBody(data []byte) error {
-	if c.closeDelimited && !c.finished {
-		return c.appendBody(data)
+// feedBody adds data to the body; it returns the data behind its end.
+func (c *call) feedBody(data []byte) ([]byte, error) {
+	for len(data) > 0 && !c.finished {
+		n, err := c.feedBodyPart(data)
+		if err != nil {
+			return nil, err
+		}
+		data = data[n:]
 	}
-	return c.parser.Parse(data)
+	return data, nil
 }
 
-// appendBody adds data to the body, up to the limit for one response and the budget for all.
+// feedBodyPart adds the start of data to the body; it returns how many bytes it has read.
+func (c *call) feedBodyPart(data []byte) (int, error) {
+	n, part := len(data), data
+	switch {
+	case c.chunked != nil:
+		var err error
+		if n, part, err = c.chunked.Next(data); err != nil {
+			return 0, chunkedError(err)
+		}
+	case !c.closeDelimited:
+		n = min(n, c.bytesLeft)
+		part = data[:n]
+		c.bytesLeft -= n
+	}
+	if err := c.appendBody(part); err != nil {
+		return 0, err
+	}
+	complete := c.bytesLeft == 0
+	if c.chunked != nil {
+		complete = c.chunked.Done()
+	}
+	if complete && !c.closeDelimited {
+		c.complete()
+	}
+	return n, nil
+}
+
+// chunkedError converts an error of the decoder.
+func chunkedError(err error) error {
+	var e *decoder.Error
+	if errors.As(err, &e) && e.Kind == decoder.KindBodyTooLarge {
+		return ErrTooLarge
+	}
+	return errors.WithMessage(ErrMalformed, err.Error())
+}
+
+// appendBody adds data to the body, up to the limit.
 func (c *call) appendBody(data []byte) error {
-	if len(c.response.Body)+len(data) > c.limits.MaxBodyBytes || !c.buffered.take(len(data)) {
+	if len(c.response.Body)+len(data) > c.limits.MaxBodyBytes {
 		c.fail(ErrTooLarge)
 		return ErrTooLarge
 	}
@@ -133,12 +183,6 @@
 	return err
 }
 
-// atMessageBoundary reports whether the parser has received no byte after the response. It feeds a
-// zero byte, which the parser rejects with ErrInvalidMethod only at the start of a message.
-func (c *call) atMessageBoundary() bool {
-	return errors.Is(c.parser.Parse([]byte{0}), nbhttp.ErrInvalidMethod)
-}
-
 func (c *call) fail(err error) {
 	if c.finished {
 		return
@@ -169,13 +213,8 @@
 // Clean implements nbhttp.Processor.
 func (c *call) Clean(*nbhttp.Parser) {}
 
-// OnBody implements nbhttp.Processor.
-func (c *call) OnBody(_ *nbhttp.Parser, data []byte) error {
-	if c.finished {
-		return ErrUnsolicited
-	}
-	return c.appendBody(data)
-}
+// OnBody implements nbhttp.Processor; the parser gets no bodies.
+func (c *call) OnBody(*nbhttp.Parser, []byte) error { return ErrUnsolicited }
 
 // OnComplete implements nbhttp.Processor.
 func (c *call) OnComplete(*nbhttp.Parser) {
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -92,7 +92,6 @@
 		c.closed = true
 		return ErrUnsolicited
 	}
-	c.current.account.Take(len(data))
 	err := c.current.feed(data)
 	if err != nil {
 		c.closed = true
@@ -143,7 +142,7 @@
 	if c.closed {
 		return nil, ErrClosed
 	}
-	cl := newCall(r, c.exchanger.limits, c.exchanger.buffered)
+	cl := newCall(r, c.exchanger.limits, c.evict)
 	cl.parser = nbhttp.NewParser(c.nbc, c.exchanger.engine, cl, true, nil)
 	c.current = cl
 	c.exchanges++
@@ -169,6 +168,20 @@
 	c.mu.Unlock()
 }
 
+// evict gives up a response to free its memory.
+func (c *Conn) evict(cl *call) {
+	c.mu.Lock()
+	current := c.current == cl
+	if current {
+		cl.fail(ErrEvicted)
+		c.closed = true
+	}
+	c.mu.Unlock()
+	if current {
+		_ = c.nbc.CloseWithError(ErrEvicted)
+	}
+}
+
 func (c *Conn) end(cl *call) (*Response, error) {
 	if c.release() {
 		c.Close()
@@ -176,7 +189,9 @@
 	if cl.err != nil {
 		return nil, unknown("receive", cl.err)
 	}
-	return &cl.response, nil
+	// The call refers to the parser and its buffer.
+	resp := cl.response
+	return &resp, nil
 }
 
 // release ends the exchange in flight and reports whether the connection must be closed.
@@ -185,7 +200,6 @@
 	defer c.mu.Unlock()
 	cl := c.current
 	c.current = nil
-	c.exchanger.buffered.release(len(cl.response.Body))
 	cl.account.Close()
 	if cl.err != nil || cl.closeAfter {
 		c.closed = true
--- a/exchanger/error.go
+++ b/exchanger/error.go
@@ -37,6 +37,9 @@
 	ErrIDMismatch = errors.New("response carries the ID of another request")
 	// ErrTooLarge is returned for a response that exceeds a size limit.
 	ErrTooLarge = errors.New("response exceeds the size limit")
+	// ErrEvicted is returned for a response that was given up because all responses together exceed
+	// their limit.
+	ErrEvicted = errors.New("response given up: too many bytes are being received")
 	// ErrNoLength is returned for a close-delimited response where none is allowed.
 	ErrNoLength = errors.New("response has no Content-Length or Transfer-Encoding")
 	// ErrMalformed is returned for a response that violates HTTP.
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -22,8 +22,8 @@
 	DefaultMaxBodyBytes = 16 << 20
 	// DefaultMaxHeaderBytes is the default maximum of a response header.
 	DefaultMaxHeaderBytes = 64 << 10
-	// DefaultMaxBufferedBytes is the default maximum of all responses that are being received.
-	DefaultMaxBufferedBytes = 64 << 20
+	// DefaultTransitBytes is the default maximum of all responses that are being received.
+	DefaultTransitBytes = 16 << 20
 )
 
 // minEngineUptime is the minimum time between start and stop of the engine: its pollers are
@@ -38,10 +38,8 @@
 	MaxBodyBytes int
 	// MaxHeaderBytes is the maximum size of the header: names and values of its fields.
 	MaxHeaderBytes int
-	// MaxBufferedBytes is the maximum size of the bodies of all responses that are being received.
-	MaxBufferedBytes int
-	// Transit counts the bytes of all responses that are being received; nil stands for a limiter of
-	// the exchanger's own.
+	// Transit bounds the bytes of all responses that are being received; nil stands for a limiter of
+	// the exchanger's own with DefaultTransitBytes.
 	Transit *limiter.Limiter
 	// AllowCloseDelimited accepts close-delimited responses: without a length, the end of the
 	// connection marks the end of the body.
@@ -52,7 +50,6 @@
 type Exchanger struct {
 	engine    *nbhttp.Engine
 	limits    Limits
-	buffered  *bufferBudget
 	dialer    net.Dialer
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -67,16 +64,13 @@
 	if limits.MaxHeaderBytes <= 0 {
 		limits.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
-	if limits.MaxBufferedBytes <= 0 {
-		limits.MaxBufferedBytes = DefaultMaxBufferedBytes
-	}
 	if limits.Transit == nil {
-		limits.Transit = limiter.New(0)
+		limits.Transit = limiter.New(DefaultTransitBytes)
 	}
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Name:               "exchanger",
 		NPoller:            1,
-		ReadLimit:          limits.MaxBodyBytes + limits.MaxHeaderBytes,
+		ReadLimit:          limits.MaxHeaderBytes,
 		MaxWriteBufferSize: limits.MaxBodyBytes + limits.MaxHeaderBytes,
 	})
 	e.OnRead(read)
@@ -85,7 +79,6 @@
 	}
 	return &Exchanger{
 		engine: e, limits: limits, closed: make(chan struct{}), started: time.Now(),
-		buffered: &bufferBudget{maxBytes: int64(limits.MaxBufferedBytes)},
 	}, nil
 }
 
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -2,20 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
-	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/limiter"
 )
 
 // feedSplit feeds raw to a new call in two parts, split at position at, then ends the connection.
 func feedSplit(t *testing.T, e *Exchanger, raw string, at int) *call {
 	t.Helper()
-	c := newCall(get(""), e.limits, e.buffered)
+	c := newCall(get(""), e.limits, func(*call) {})
 	c.parser = newTestParser(e, c)
 	for _, part := range []string{raw[:at], raw[at:]} {
 		if part == "" || c.finished {
@@ -96,31 +98,87 @@
 	}
 }
 
-// TestAllBodiesShareOneBudget: responses that each keep their limit can't exhaust the memory
-// together, and the budget is free again after them.
-func TestAllBodiesShareOneBudget(t *testing.T) {
-	e, err := New(Limits{MaxBodyBytes: 100, MaxBufferedBytes: 150})
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer e.Close()
-	calls := make([]*call, 2)
-	for i := range calls {
-		calls[i] = newCall(get(""), e.limits, e.buffered)
-	}
-	if err := calls[0].appendBody(make([]byte, 100)); err != nil {
-		t.Fatal(err)
+// writeAndWait writes head, then n bytes of body, and waits until the client closes.
+func writeAndWait(head string, n int) func(int, net.Conn, *bufio.Reader) {
+	return func(_ int, c net.Conn, r *bufio.Reader) {
+		readRequest(r)
+		_, _ = io.WriteString(c, head+strings.Repeat("1", n))
+		_, _ = io.Copy(io.Discard, r)
 	}
-	if err := calls[1].appendBody(make([]byte, 100)); !errors.Is(err, ErrTooLarge) {
-		t.Fatalf("error %v, want %v", err, ErrTooLarge)
+}
+
+// TestBytesThatAreNoBodyEndTheExchange guards against bytes that wait in the parser for the end of
+// a line: they are no body, so no limit on bodies applies to them.
+func TestBytesThatAreNoBodyEndTheExchange(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, tc := range map[string]struct {
+		head  string
+		cause error
+	}{
+		"extension":  {head + "5;", ErrMalformed},
+		"blanks":     {head + "5" + strings.Repeat(" ", 1<<16), ErrMalformed},
+		"size":       {head, ErrTooLarge},
+		"zeros":      {head + strings.Repeat("0", 1<<16), ErrMalformed},
+		"long chunk": {head + "ffffffff\r\n", ErrTooLarge},
+		"trailer":    {head + "0\r\nSum: ", ErrMalformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e, err := New(Limits{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer e.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			s := startServer(t, writeAndWait(tc.head, 1<<20))
+			_, err = e.Exchange(ctx, s.address(), get(""))
+			wantError(t, err, KindUnknown, tc.cause)
+		})
 	}
-	e.buffered.release(100)
-	s := startServer(t, respondOnce("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n"+strings.Repeat("x", 100), false))
-	for range 3 {
-		resp, err := e.Exchange(t.Context(), s.address(), get(""))
-		if err != nil || resp.Status != http.StatusOK {
-			t.Fatalf("%+v, %v", resp, err)
-		}
+}
+
+// TestAllResponsesShareOneLimit guards against a process that runs out of memory: responses that
+// each keep their limit can't exceed that of all together, complete or not, while a small one gets
+// through.
+func TestAllResponsesShareOneLimit(t *testing.T) {
+	const exchanges, bodyBytes, limitBytes = 32, 1 << 20, 8 << 20
+	for name, head := range map[string]string{
+		"length":    "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n",
+		"chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1E8480\r\n",
+		"no length": "HTTP/1.1 200 OK\r\nServer: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			transit := limiter.New(limitBytes)
+			e, err := New(Limits{Transit: transit, AllowCloseDelimited: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer e.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			endless := startServer(t, writeAndWait(head, bodyBytes))
+			sound := startServer(t, respondOnce("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false))
+			ended := make(chan error, exchanges)
+			for range exchanges {
+				go func() {
+					_, err := e.Exchange(ctx, endless.address(), get(""))
+					ended <- err
+				}()
+			}
+			for range exchanges - limitBytes/bodyBytes {
+				wantError(t, <-ended, KindUnknown, ErrEvicted)
+			}
+			if _, err := e.Exchange(ctx, sound.address(), get("")); err != nil {
+				t.Fatal(err)
+			}
+			cancel()
+			for range limitBytes / bodyBytes {
+				<-ended
+			}
+			if n := transit.UsedBytes(); n != 0 {
+				t.Fatalf("%d bytes are still held", n)
+			}
+		})
 	}
 }
 
--- a/exchanger/header.go
+++ b/exchanger/header.go
@@ -6,6 +6,15 @@
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/decoder"
+)
+
+const (
+	// fieldOverheadBytes is the memory that a header field takes besides its bytes.
+	fieldOverheadBytes = 128
+	// maxTrailerBytes is 0 because trailer fields aren't supported.
+	maxTrailerBytes = 0
 )
 
 // OnProto implements nbhttp.Processor.
@@ -50,6 +59,10 @@
 		c.fail(errors.WithMessage(ErrMalformed, "invalid character in a header value"))
 		return
 	}
+	if !c.account.Take(fieldOverheadBytes) {
+		c.fail(ErrEvicted)
+		return
+	}
 	c.response.Header.Add(key, value)
 }
 
@@ -98,7 +111,12 @@
 		c.fail(ErrTooLarge)
 		return
 	}
-	if length >= 0 || chunked {
+	if chunked {
+		c.chunked = decoder.NewChunked(c.limits.MaxBodyBytes, maxTrailerBytes)
+		return
+	}
+	if length >= 0 {
+		c.bytesLeft = length
 		return
 	}
 	if !c.limits.AllowCloseDelimited {
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -13,6 +13,9 @@
 // HeaderRequestID is the default header field for the request ID; a server may echo it.
 const HeaderRequestID = "Fescuethread-Request"
 
+// headEstimateBytes is the usual size of a request's head.
+const headEstimateBytes = 1 << 10
+
 // Request is a request to a server.
 type Request struct {
 	// ID is sent in the header field IDHeader. A response that echoes another ID is rejected. ID may
@@ -53,6 +56,7 @@
 		q.ContentLength = int64(len(r.Body))
 	}
 	var b bytes.Buffer
+	b.Grow(len(r.Body) + headEstimateBytes)
 	if err := q.Write(&b); err != nil {
 		return nil, errors.WithMessage(ErrRequest, err.Error())
 	}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -46,15 +46,15 @@
 	return l.evictions.Load()
 }
 
-// Open returns an empty account. If the limit is exceeded while the account is the largest,
-// onEvict is called once in a goroutine of its own; it must free the memory.
+// Open returns an empty account. If another account exceeds the limit while this one is the
+// largest, onEvict is called once in a goroutine of its own; it must free the memory.
 func (l *Limiter) Open(onEvict func()) *Account {
 	return &Account{limiter: l, onEvict: onEvict}
 }
 
-// makeRoom evicts the largest accounts until the limit is kept or nothing is left to evict. The
-// caller holds mu.
-func (l *Limiter) makeRoom() {
+// makeRoom evicts the largest accounts until the limit is kept or nothing is left to evict; taker
+// isn't told. The caller holds mu.
+func (l *Limiter) makeRoom(taker *Account) {
 	for l.maxBytes > 0 && l.used > l.maxBytes {
 		largest := l.largest()
 		if largest == nil {
@@ -63,7 +63,7 @@
 		l.remove(largest)
 		largest.closed = true
 		l.evictions.Add(1)
-		if largest.onEvict != nil {
+		if largest != taker && largest.onEvict != nil {
 			go largest.onEvict()
 		}
 	}
@@ -111,7 +111,7 @@
 	a.bytes += int64(n)
 	l.used += int64(n)
 	l.holders[a] = struct{}{}
-	l.makeRoom()
+	l.makeRoom(a)
 	if a.closed {
 		return false
 	}
--- a/limiter/limiter_test.go
+++ b/limiter/limiter_test.go
@@ -27,24 +27,37 @@
 	}
 	evicted := make(chan struct{})
 	endless := l.Open(func() { close(evicted) })
-	taken := 0
-	for endless.Take(1) {
-		taken++
+	if !endless.Take(20) {
+		t.Fatal("no room")
+	}
+	if !small[0].Take(1) {
+		t.Fatal("a small account found no room")
 	}
 	select {
 	case <-evicted:
 	case <-time.After(time.Minute):
 		t.Fatal("the account was not told")
 	}
-	if taken != 20 || endless.Take(1) {
-		t.Fatalf("%d bytes were taken", taken)
+	if endless.Take(1) {
+		t.Fatal("an evicted account took bytes")
 	}
+	small[0].Release(1)
 	wantUsed(t, l, 80)
 	if l.Evictions() != 1 || l.PeakBytes() != 100 {
 		t.Fatalf("%d evictions, peak %d", l.Evictions(), l.PeakBytes())
 	}
 }
 
+// TestTakerOfTooMuchIsRefused: an account that exceeds the limit itself learns it from Take alone.
+func TestTakerOfTooMuchIsRefused(t *testing.T) {
+	l := New(100)
+	a := l.Open(func() { t.Error("the taker was told twice") })
+	if !a.Take(100) || a.Take(1) || a.Take(1) {
+		t.Fatal("the limit was exceeded")
+	}
+	wantUsed(t, l, 0)
+}
+
 // TestPinnedAccountsStay: a message that is in use is not evicted; what comes later is refused.
 func TestPinnedAccountsStay(t *testing.T) {
 	l := New(100)
