server: bound all bytes of requests and of unread responses

The parser keeps what it can't parse yet, up to 64 MiB a connection; limits on heads and bodies count whole pieces, trailers had none, and nothing counted over all connections. Responses that a caller doesn't read had a limit for each connection only.

Now the parser gets heads line by line, and bodies go through decoder or by their length. Every byte counts until the response has been written towards 1/8 of host.memory; beyond it the largest incomplete request is refused with 503 and Retry-After and its memory freed at once. Responses count until the kernel has taken them towards the limit on responses. Bodies and responses are copied once less.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -41,6 +41,9 @@
 	// memoryLimitFraction is the Go runtime's memory limit as a fraction of host.memory; near the
 	// limit the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// requestsFraction is the part of host.memory that requests may take from their first byte to
+	// their response; two copies of the body may exist besides while it is sent to a target.
+	requestsFraction = 1.0 / 8
 	// responsesFraction is the part of host.memory that responses may take while they are received
 	// and until callers have read them; two copies of each may exist besides.
 	responsesFraction = 1.0 / 16
@@ -92,7 +95,8 @@
 	selector    *selector.Selector
 	sharer      *sharer.Sharer
 	isolator    *isolator.Isolator
-	// responses bounds the bytes of responses in transit.
+	// requests and responses bound the bytes of messages in transit.
+	requests     *limiter.Limiter
 	responses    *limiter.Limiter
 	sender       *steerer.Sender
 	steerer      *steerer.Steerer
@@ -173,6 +177,7 @@
 
 func (h *Host) buildComponents(context.Context) error {
 	stats := steerer.NewStats()
+	h.requests = limiter.New(h.memoryPart(requestsFraction))
 	h.responses = limiter.New(h.memoryPart(responsesFraction))
 	e, err := exchanger.New(exchanger.Limits{Transit: h.responses})
 	if err != nil {
--- a/conductor/listen.go
+++ b/conductor/listen.go
@@ -25,6 +25,8 @@
 		MaxConnections:      connections,
 		IdleTimeout:         defaultIdleTimeout + idleMargin,
 		CurrentLimits:       h.callerLimits,
+		Requests:            h.requests,
+		Responses:           h.responses,
 		OnPanic:             h.logPanic,
 		OnAbort:             requestsAborted.Inc,
 	}, h.steerer)
@@ -61,6 +63,8 @@
 		MaxWriteBufferBytes: maxAuxResponseBytes,
 		MaxConnections:      maxAuxConnections,
 		IdleTimeout:         defaultIdleTimeout,
+		Requests:            h.requests,
+		Responses:           h.responses,
 		OnPanic:             h.logPanic,
 	}, handler)
 	if err != nil {
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -39,6 +39,7 @@
 		}
 		return float64(live)
 	})
+	exportLimiter("requests", h.requests)
 	exportLimiter("responses", h.responses)
 	for _, subject := range follower.Subjects() {
 		name := fmt.Sprintf("fescuethread_proof_age_seconds{reads=%q}", subject)
--- a/server/config.go
+++ b/server/config.go
@@ -1,6 +1,10 @@
 package server
 
-import "time"
+import (
+	"time"
+
+	"github.com/fescuethread/fescuethread/limiter"
+)
 
 // Config is the configuration of a Server.
 type Config struct {
@@ -20,6 +24,12 @@
 	// CurrentLimits returns limits that may change while the server runs; if it is nil, MaxBodyBytes,
 	// MaxHeaderBytes and, for the header, IdleTimeout apply.
 	CurrentLimits func() Limits
+	// Requests bounds the bytes of all requests, from their first byte to the end of their response;
+	// nil stands for a limiter of the server's own with DefaultTransitBytes.
+	Requests *limiter.Limiter
+	// Responses bounds the bytes of all responses until callers have read them; nil stands for a
+	// limiter of the server's own with DefaultTransitBytes.
+	Responses *limiter.Limiter
 	// OnPanic is called if the handler panics, with the recovered value; it may be nil.
 	OnPanic func(recovered interface{})
 	// OnAbort is called when a request ends without a response, because its caller has left or the
@@ -37,6 +47,17 @@
 	HeaderTimeout time.Duration
 }
 
+// withLimiters returns the configuration with a limiter in place of each that is nil.
+func (c Config) withLimiters() Config {
+	if c.Requests == nil {
+		c.Requests = limiter.New(DefaultTransitBytes)
+	}
+	if c.Responses == nil {
+		c.Responses = limiter.New(DefaultTransitBytes)
+	}
+	return c
+}
+
 func (c *Config) limits() Limits {
 	if c.CurrentLimits != nil {
 		return c.CurrentLimits()
@@ -46,6 +67,21 @@
 	}
 }
 
+// DefaultTransitBytes is the default limit on the bytes of requests or responses in transit.
+const DefaultTransitBytes = 16 << 20
+
+const (
+	// maxHeaderFields is the maximum number of header fields of a request.
+	maxHeaderFields = 256
+	// headLineOverheadBytes is the memory that a line of a request's head takes besides its bytes.
+	headLineOverheadBytes = 128
+	// maxLineOverheadBytes is how much longer than the limit on header bytes a line may be: a method,
+	// a version and separators don't count towards that limit.
+	maxLineOverheadBytes = 64
+	// overloadRetryAfter is the Retry-After of requests for which there is no memory.
+	overloadRetryAfter = time.Second
+)
+
 const (
 	// maxPipelined is the maximum number of pending requests on a connection.
 	maxPipelined = 16
--- a/server/connection.go
+++ b/server/connection.go
@@ -7,20 +7,20 @@
 	"time"
 
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
 
+	"github.com/fescuethread/fescuethread/limiter"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
 // connection is a connection of a caller.
 type connection struct {
-	server    *Server
-	raw       *nbio.Conn
-	parser    *nbhttp.Parser
-	processor *processor
-	lines     lineCheck
-	ctx       context.Context
-	cancel    context.CancelFunc
+	server *Server
+	raw    *nbio.Conn
+	// out writes to raw and counts what the caller hasn't read.
+	out    *sendConn
+	reader *requestReader
+	ctx    context.Context
+	cancel context.CancelFunc
 	// refused is set after the first invalid or late request; all later input is ignored.
 	refused atomic.Bool
 	// readingSince is the arrival time of the incomplete request's first byte; 0 if there is none.
@@ -44,20 +44,19 @@
 	lastRequest bool
 	// finalFault is the error response to send after the pending responses; nil if there is none.
 	finalFault *fault
-	// onIdle runs once no request is pending; it is set when the connection has closed.
-	onIdle func()
 }
 
 func newConnection(s *Server, raw *nbio.Conn) *connection {
 	c := &connection{server: s, raw: raw}
 	c.ctx, c.cancel = context.WithCancel(s.baseCtx)
-	c.processor = &processor{cfg: &s.cfg, conn: c}
+	c.out = newSendConn(raw, s.cfg.Responses)
+	c.reader = newRequestReader(c)
 	return c
 }
 
-// begin adds a pending request. It returns false if the request counts as not read: the
+// begin adds a pending request, which holds account until it ends. It returns false if the request counts as not read: the
 // connection is about to close, or too many requests are pending.
-func (c *connection) begin() bool {
+func (c *connection) begin(account *limiter.Account) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.pending >= maxPipelined || c.pending > 0 && c.server.keepAlivesDisabled.Load() {
@@ -69,12 +68,11 @@
 	c.pending++
 	c.arrivedAt.Store(c.readingSince.Swap(0))
 	c.headerDone.Store(false)
-	c.lines = lineCheck{}
 	previous := alreadyWritten
 	if c.latest != nil {
 		previous = c.latest.written
 	}
-	c.latest = &turn{conn: c, previous: previous, written: make(chan struct{})}
+	c.latest = &turn{conn: c, account: account, previous: previous, written: make(chan struct{})}
 	return true
 }
 
@@ -101,17 +99,12 @@
 
 // end ends the turn of a request whose response was written.
 func (c *connection) end(t *turn) {
+	t.account.Close()
 	c.mu.Lock()
 	c.pending--
-	idle, closing, f, onIdle := c.pending == 0, c.closing, c.finalFault, c.onIdle
+	idle, closing, f := c.pending == 0, c.closing, c.finalFault
 	c.mu.Unlock()
 	close(t.written)
-	if onIdle != nil {
-		if idle {
-			onIdle()
-		}
-		return
-	}
 	switch {
 	case !idle:
 		// The engine has set the idle timeout, but other requests are running.
@@ -164,19 +157,6 @@
 	return retireNow
 }
 
-// afterClose runs f when no request is pending; the connection has closed.
-func (c *connection) afterClose(f func()) {
-	c.mu.Lock()
-	if c.pending > 0 {
-		c.onIdle = f
-		f = nil
-	}
-	c.mu.Unlock()
-	if f != nil {
-		f()
-	}
-}
-
 // ignoresInput reports whether no further request is read.
 func (c *connection) ignoresInput() bool {
 	c.mu.Lock()
@@ -190,43 +170,19 @@
 	return c.pending == 0
 }
 
-// receive parses data and refuses the connection if there is a fault.
+// receive reads requests from data and refuses the connection if there is a fault.
 func (c *connection) receive(data []byte) {
-	if len(data) == 0 || c.refused.Load() || c.ignoresInput() {
-		return
-	}
-	if f := c.parse(data); f != nil {
+	if f := c.reader.read(data); f != nil {
 		c.refuse(f)
 	}
 }
 
-// parse passes data to the parser in pieces, so that each header line is checked first.
-func (c *connection) parse(data []byte) *fault {
-	for len(data) > 0 && !c.ignoresInput() {
-		c.readingSince.CompareAndSwap(0, int64(timer.Now()))
-		n := c.processor.nextPiece(data)
-		if !c.lines.ended {
-			if f := c.lines.check(data[:n]); f != nil {
-				return f
-			}
-		}
-		err := c.parser.Parse(data[:n])
-		if f := c.processor.fault; f != nil {
-			return f
-		}
-		if err != nil {
-			return toFault(err)
-		}
-		data = data[n:]
-	}
-	return nil
-}
-
 // refuse ends the connection with an error response, after the responses to the pending requests.
 func (c *connection) refuse(f *fault) {
 	if c.refused.Swap(true) {
 		return
 	}
+	c.reader.close()
 	c.mu.Lock()
 	waits := c.pending > 0
 	if waits {
@@ -241,7 +197,7 @@
 // sendFault sends an error response and keeps the connection open for lingerTimeout, because
 // closing a socket with unread input resets the connection and the caller would lose the response.
 func (c *connection) sendFault(f *fault) {
-	_, _ = c.raw.Write(f.response())
+	_, _ = c.out.Write(f.response())
 	c.closeAt.Store(int64(timer.Now().Add(lingerTimeout)))
 }
 
--- a/server/error.go
+++ b/server/error.go
@@ -10,6 +10,8 @@
 	KindListen Kind = "listen"
 	// KindStart is a failure to start the engine.
 	KindStart Kind = "start"
+	// KindMemory means that there is no memory for a message.
+	KindMemory Kind = "memory"
 )
 
 // Error is the package's error: the operation, its kind and the cause.
--- a/server/fault.go
+++ b/server/fault.go
@@ -3,15 +3,24 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
+
+	"github.com/fescuethread/fescuethread/decoder"
 )
 
 // fault is an error response that ends a connection.
 type fault struct {
 	status  int
 	message string
+	// retryAfter is sent as the Retry-After header; 0 omits it.
+	retryAfter time.Duration
+}
+
+func newFault(status int, message string) *fault {
+	return &fault{status: status, message: message}
 }
 
 // Error formats the fault.
@@ -20,39 +29,46 @@
 }
 
 func headerTooLarge() *fault {
-	return &fault{http.StatusRequestHeaderFieldsTooLarge, "the request header is too large"}
+	return newFault(http.StatusRequestHeaderFieldsTooLarge, "the request header is too large")
 }
 
 func bodyTooLarge() *fault {
-	return &fault{http.StatusRequestEntityTooLarge, "the request body is too large"}
+	return newFault(http.StatusRequestEntityTooLarge, "the request body is too large")
 }
 
 func ambiguousLength() *fault {
-	return &fault{http.StatusBadRequest, "the request states its length more than once"}
+	return newFault(http.StatusBadRequest, "the request states its length more than once")
 }
 
 func malformedField(name string) *fault {
-	return &fault{http.StatusBadRequest, "the header field " + name + " is malformed"}
+	return newFault(http.StatusBadRequest, "the header field "+name+" is malformed")
 }
 
 func malformedLine() *fault {
-	return &fault{http.StatusBadRequest, "the request line is malformed"}
+	return newFault(http.StatusBadRequest, "the request line is malformed")
 }
 
 func spaceInName() *fault {
-	return &fault{http.StatusBadRequest, "a header field's name holds a blank"}
+	return newFault(http.StatusBadRequest, "a header field's name holds a blank")
 }
 
 func invalidHost() *fault {
-	return &fault{http.StatusBadRequest, "the request does not name one host"}
+	return newFault(http.StatusBadRequest, "the request does not name one host")
 }
 
 func unsupportedVersion() *fault {
-	return &fault{http.StatusHTTPVersionNotSupported, "only HTTP/1.0 and HTTP/1.1 are spoken"}
+	return newFault(http.StatusHTTPVersionNotSupported, "only HTTP/1.0 and HTTP/1.1 are spoken")
+}
+
+// outOfMemory refuses a request that wasn't read whole: it has not run, and others may be served.
+func outOfMemory() *fault {
+	f := newFault(http.StatusServiceUnavailable, "too many bytes of requests are in transit")
+	f.retryAfter = overloadRetryAfter
+	return f
 }
 
 func requestTimeout() *fault {
-	return &fault{http.StatusRequestTimeout, "the request did not arrive in time"}
+	return newFault(http.StatusRequestTimeout, "the request did not arrive in time")
 }
 
 // toFault converts an error of the parser to a fault.
@@ -62,15 +78,26 @@
 		return f
 	}
 	if errors.Is(err, nbhttp.ErrTooLong) {
+		return headerTooLarge()
+	}
+	var e *decoder.Error
+	if errors.As(err, &e) && e.Kind == decoder.KindBodyTooLarge {
 		return bodyTooLarge()
 	}
-	return &fault{http.StatusBadRequest, "the request is malformed"}
+	if errors.As(err, &e) && e.Kind == decoder.KindTrailerTooLarge {
+		return headerTooLarge()
+	}
+	return newFault(http.StatusBadRequest, "the request is malformed")
 }
 
 // response returns the complete HTTP response, with the header Connection: close.
 func (f *fault) response() []byte {
 	body := fmt.Sprintf("{\"error\":%q}\n", f.message)
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"+
+	retryAfter := ""
+	if f.retryAfter > 0 {
+		retryAfter = fmt.Sprintf("Retry-After: %.3f\r\n", f.retryAfter.Seconds())
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n%s"+
 		"Content-Length: %d\r\nConnection: close\r\n\r\n%s",
-		f.status, http.StatusText(f.status), len(body), body)
+		f.status, http.StatusText(f.status), retryAfter, len(body), body)
 }
--- a/server/lines.go
+++ b/server/lines.go
@@ -1,7 +1,5 @@
 package server
 
-import "bytes"
-
 // requestLineSpaces is the number of spaces in a request line.
 const requestLineSpaces = 2
 
@@ -46,15 +44,3 @@
 	}
 	return nil
 }
-
-// nextPiece returns the length of the next piece of data for the parser: a line, or the rest of a
-// body of known length. A piece never extends beyond the end of a header.
-func (p *processor) nextPiece(data []byte) int {
-	if left := p.contentLength - p.bodyBytes; p.conn.lines.ended && left > 0 {
-		return min(left, len(data))
-	}
-	if i := bytes.IndexByte(data, '\n'); i >= 0 {
-		return i + 1
-	}
-	return len(data)
-}
--- a/server/processor.go
+++ b/server/processor.go
@@ -11,15 +11,12 @@
 type processor struct {
 	nbhttp.ServerProcessor
 	cfg                    *Config
-	conn                   *connection
+	reader                 *requestReader
 	headerBytes            int
+	headerFields           int
 	contentLengthFields    int
 	transferEncodingFields int
-	bodyBytes              int
-	// contentLength is the length of the body according to the header; it is less than 1 if there is
-	// no body or its length is unknown.
-	contentLength int
-	hostFields    int
+	hostFields             int
 	// fault is the first fault on the connection; later requests are not served.
 	fault *fault
 	// http11 is set for HTTP/1.1 requests.
@@ -42,10 +39,9 @@
 // OnMethod resets the state for a new request.
 func (p *processor) OnMethod(parser *nbhttp.Parser, method string) {
 	p.headerBytes = 0
+	p.headerFields = 0
 	p.contentLengthFields = 0
 	p.transferEncodingFields = 0
-	p.bodyBytes = 0
-	p.contentLength = 0
 	p.hostFields = 0
 	p.ServerProcessor.OnMethod(parser, method)
 }
@@ -72,6 +68,7 @@
 // and requests with more than one length field. OnContentLength checks the number of Host fields.
 func (p *processor) OnHeader(parser *nbhttp.Parser, key, value string) {
 	p.headerBytes += len(key) + len(value)
+	p.headerFields++
 	switch key {
 	case "Content-Length":
 		p.contentLengthFields++
@@ -86,7 +83,7 @@
 	case "Host":
 		p.hostFields++
 	}
-	if p.headerBytes > p.limits().MaxHeaderBytes {
+	if p.headerBytes > p.limits().MaxHeaderBytes || p.headerFields > maxHeaderFields {
 		p.fail(headerTooLarge())
 		return
 	}
@@ -99,27 +96,22 @@
 	p.ServerProcessor.OnHeader(parser, key, value)
 }
 
-// OnContentLength is called at the end of the header. It rejects bodies above the limit and
-// requests without exactly one Host field, which is optional in HTTP/1.0.
+// OnContentLength is called at the end of the header. It rejects bodies above the limit, bodies for
+// which there is no memory, and requests without exactly one Host field, which is optional in
+// HTTP/1.0.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
-	p.conn.headerDone.Store(true)
-	p.contentLength = length
+	p.reader.conn.headerDone.Store(true)
+	p.reader.beginBody(length, p.transferEncodingFields > 0)
 	if p.hostFields > 1 || p.hostFields == 0 && p.http11 {
 		p.fail(invalidHost())
 	}
 	if length > p.limits().MaxBodyBytes {
 		p.fail(bodyTooLarge())
 	}
-	p.ServerProcessor.OnContentLength(parser, length)
-}
-
-// OnBody rejects bodies above the limit.
-func (p *processor) OnBody(parser *nbhttp.Parser, data []byte) error {
-	p.bodyBytes += len(data)
-	if p.bodyBytes > p.limits().MaxBodyBytes {
-		return bodyTooLarge()
+	if room := p.cfg.Requests.MaxBytes(); room > 0 && int64(length) > room {
+		p.fail(outOfMemory())
 	}
-	return p.ServerProcessor.OnBody(parser, data)
+	p.ServerProcessor.OnContentLength(parser, length)
 }
 
 // OnComplete runs the handler unless there was a fault.
@@ -127,11 +119,18 @@
 	if p.fault != nil {
 		return
 	}
-	if !p.conn.begin() {
+	account := p.reader.complete()
+	if account == nil {
+		p.fail(outOfMemory())
+		return
+	}
+	c := p.reader.conn
+	if !c.begin(account) {
+		account.Close()
 		return
 	}
 	// The handler has its own timeout; the idle timeout must not end a running request.
-	_ = p.conn.raw.SetDeadline(time.Time{})
+	_ = c.raw.SetDeadline(time.Time{})
 	p.ServerProcessor.OnComplete(parser)
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return nil, &Error{Op: "listen " + cfg.Address, Kind: KindListen, Err: err}
 	}
-	s := &Server{cfg: cfg, handler: handler, listener: l}
+	s := &Server{cfg: cfg.withLimiters(), handler: handler, listener: l}
 	s.baseCtx, s.cancel = context.WithCancel(context.WithoutCancel(ctx))
 	s.engine = s.newEngine()
 	return s, nil
@@ -82,7 +82,6 @@
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Name:               "callers",
 		NPoller:            pollerCount,
-		ReadLimit:          s.cfg.MaxBodyBytes + s.cfg.MaxHeaderBytes,
 		ReadBufferSize:     readBufferBytes,
 		MaxWriteBufferSize: s.cfg.MaxWriteBufferBytes,
 		KeepaliveTime:      s.cfg.engineIdleTimeout(),
@@ -91,7 +90,8 @@
 		SupportServerOnly:  true,
 	})
 	e.OnRequest = s.prepare
-	e.Engine.OnClose(s.onClose)
+	e.Engine.OnClose(func(raw *nbio.Conn, _ error) { s.remove(raw) })
+	e.Engine.OnWrittenSize(s.written)
 	return e
 }
 
@@ -134,7 +134,7 @@
 }
 
 func (s *Server) refuseConnection(conn net.Conn) {
-	f := &fault{http.StatusServiceUnavailable, "too many connections"}
+	f := newFault(http.StatusServiceUnavailable, "too many connections")
 	_ = conn.SetWriteDeadline(time.Now().Add(lingerTimeout))
 	_, _ = conn.Write(f.response())
 	_ = conn.Close()
@@ -147,12 +147,7 @@
 		return
 	}
 	c := newConnection(s, raw)
-	wrapped := &nbhttp.Conn{Conn: raw}
-	parser := nbhttp.NewParser(wrapped, s.engine, c.processor, false, c.execute)
-	wrapped.Parser = parser
-	raw.SetSession(parser)
 	raw.OnData(s.receive)
-	c.parser = parser
 	s.openConns.Add(1)
 	s.conns.Store(raw, c)
 	if _, err := s.engine.AddConn(raw); err != nil {
@@ -172,35 +167,26 @@
 	}
 }
 
-// onClose cancels the contexts of the connection's requests and frees the parser after them.
-func (s *Server) onClose(raw *nbio.Conn, err error) {
-	clean := func() {
-		raw.MustExecute(func() {
-			if parser, ok := raw.Session().(*nbhttp.Parser); ok {
-				parser.CloseAndClean(err)
-			}
-		})
-	}
-	if c := s.remove(raw); c != nil {
-		c.afterClose(clean)
-		return
+// written counts response bytes that the kernel has taken.
+func (s *Server) written(raw *nbio.Conn, _ []byte, n int) {
+	v, _ := s.conns.Load(raw)
+	if c, ok := v.(*connection); ok {
+		c.out.written(n)
 	}
-	clean()
 }
 
-// remove forgets a connection and cancels its requests; it returns nil if it is not known.
-func (s *Server) remove(raw *nbio.Conn) *connection {
+// remove forgets a connection that has closed, cancels its requests and frees its memory.
+func (s *Server) remove(raw *nbio.Conn) {
 	v, ok := s.conns.LoadAndDelete(raw)
 	if !ok {
-		return nil
+		return
 	}
 	s.openConns.Add(-1)
-	c, ok := v.(*connection)
-	if !ok {
-		return nil
+	if c, ok := v.(*connection); ok {
+		c.cancel()
+		c.reader.close()
+		c.out.account.Close()
 	}
-	c.cancel()
-	return c
 }
 
 // drain closes each connection once it has no request: those that still arrive are answered. It
@@ -264,7 +250,11 @@
 	if !ok {
 		return nil
 	}
-	v, _ := s.conns.Load(wrapped.Conn)
+	out, ok := wrapped.Conn.(*sendConn)
+	if !ok {
+		return nil
+	}
+	v, _ := s.conns.Load(out.Conn)
 	c, _ := v.(*connection)
 	return c
 }
@@ -295,6 +285,8 @@
 	last := r.Close
 	r.Close = false
 	response := &bufferedResponse{ctx: r.Context(), header: http.Header{}}
+	response.account = s.cfg.Responses.Open(func() { _ = t.conn.raw.Close() })
+	defer response.account.Close()
 	s.handle(response, r)
 	if !t.await(r.Context()) {
 		s.abort(w)
@@ -325,9 +317,9 @@
 		if recovered == nil {
 			return
 		}
-		*w = bufferedResponse{
-			ctx: r.Context(), header: http.Header{}, status: http.StatusInternalServerError,
-		}
+		w.header = http.Header{}
+		w.status = http.StatusInternalServerError
+		w.body = nil
 		if s.cfg.OnPanic != nil {
 			s.cfg.OnPanic(recovered)
 		}
--- a/server/turn.go
+++ b/server/turn.go
@@ -1,15 +1,17 @@
 package server
 
 import (
-	"bytes"
 	"context"
-	"net/http"
+
+	"github.com/fescuethread/fescuethread/limiter"
 )
 
 // turn is the place of a request among those of its connection. Handlers run concurrently, but
 // responses are written in the order of the requests.
 type turn struct {
 	conn *connection
+	// account holds the bytes of the request.
+	account *limiter.Account
 	// previous is closed when the response to the request before was written.
 	previous <-chan struct{}
 	// written is closed when the response to this request was written.
@@ -46,45 +48,3 @@
 	t := turnOf(ctx)
 	return t == nil || t.await(ctx)
 }
-
-// bufferedResponse holds a response until it is its turn to be written.
-type bufferedResponse struct {
-	// ctx is the request's context; it ends when the caller has left.
-	ctx    context.Context
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-// Header implements http.ResponseWriter.
-func (b *bufferedResponse) Header() http.Header {
-	return b.header
-}
-
-// WriteHeader implements http.ResponseWriter.
-func (b *bufferedResponse) WriteHeader(status int) {
-	if b.status == 0 {
-		b.status = status
-	}
-}
-
-// Write implements http.ResponseWriter; it fails if the caller has left.
-func (b *bufferedResponse) Write(data []byte) (int, error) {
-	b.WriteHeader(http.StatusOK)
-	if err := b.ctx.Err(); err != nil {
-		return 0, err
-	}
-	return b.body.Write(data)
-}
-
-// copyTo writes the response to w.
-func (b *bufferedResponse) copyTo(w http.ResponseWriter) {
-	for name, values := range b.header {
-		w.Header()[name] = values
-	}
-	if b.status == 0 {
-		b.status = http.StatusOK
-	}
-	w.WriteHeader(b.status)
-	_, _ = w.Write(b.body.Bytes())
-}
--- a/steerer/prepare.go
+++ b/steerer/prepare.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/fescuethread/fescuethread/planner"
 	"github.com/fescuethread/fescuethread/platform"
 	"github.com/fescuethread/fescuethread/server"
@@ -40,15 +42,27 @@
 	if c, err := r.Cookie(platform.CookieAffinityKey); err == nil && q.route.Sticky {
 		q.affinityKey = c.Value
 	}
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
+	var err error
+	if q.body, err = readBody(r); err != nil {
 		return rejection(http.StatusBadRequest, ReasonMalformed, 0), false
 	}
-	q.body = body
 	q.service = s.pickService(q.route)
 	return Result{}, true
 }
 
+// readBody returns the whole body. The buffer of a body of known length doesn't have to grow.
+func readBody(r *http.Request) ([]byte, error) {
+	if r.ContentLength <= 0 {
+		return io.ReadAll(r.Body)
+	}
+	body := make([]byte, r.ContentLength)
+	n, err := io.ReadFull(r.Body, body)
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		err = nil
+	}
+	return body[:n], err
+}
+
 // requestTarget returns the path and query in the encoding in which the caller sent them.
 func requestTarget(r *http.Request) string {
 	if r.RequestURI != "" {
--- a/steerer/result.go
+++ b/steerer/result.go
@@ -8,6 +8,7 @@
 
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/platform"
+	"github.com/fescuethread/fescuethread/server"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -87,7 +88,7 @@
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.Status)
-	if _, err := w.Write(body); err != nil {
+	if _, err := server.WriteBody(w, body); err != nil {
 		s.deps.Stats.writeErrors.Inc()
 	}
 }
