connector: bound what peers send before and after the handshake

The limit of 8 MiB for replies applied to requests as well, so any connection to the peers' port could hold twice that before its handshake, without a limit on connections or on silence.

--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
@@ -98,3 +101,53 @@
 		t.Fatal("a handshake of another version succeeded")
 	}
 }
+
+// TestBytesWithoutHandshakeAreBounded guards against peers' connections that fill the memory: what
+// anybody may send is small, and a connection that says nothing is closed.
+func TestBytesWithoutHandshakeAreBounded(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := Listen(ctx, "127.0.0.1:0", Config{Host: "a", MaxMessageBytes: 8 << 20})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, echo{}) }()
+	// A frame of 7 MiB begins with its control byte, stream, message and length.
+	frame := "\x04\x01\x01\x80\x80\xc0\x03" + strings.Repeat("x", 1<<20)
+	for name, data := range map[string]string{"frame without end": frame, "silence": ""} {
+		conn, err := net.Dial("tcp", s.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+		go func() { _, _ = io.WriteString(conn, data) }()
+		started := time.Now()
+		if _, err := conn.Read(make([]byte, 1)); os.IsTimeout(err) {
+			t.Fatalf("%s: the connection stays open", name)
+		}
+		if data != "" && time.Since(started) >= handshakeTimeout {
+			t.Fatalf("%s: read until the handshake's timeout", name)
+		}
+		_ = conn.Close()
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if n := s.connections.Load(); n != 0 {
+		t.Fatalf("%d connections are counted", n)
+	}
+}
+
+// TestPeerConnectionsAreCounted: beyond the maximum, new connections are closed.
+func TestPeerConnectionsAreCounted(t *testing.T) {
+	s, p := start(t)
+	s.connections.Add(maxServerConnections)
+	if _, err := p.Fetch(t.Context(), s.Address(), &messenger.DocumentQuery{Name: "1"}); err == nil {
+		t.Fatal("a connection beyond the maximum was accepted")
+	}
+	s.connections.Add(-maxServerConnections)
+	if _, err := p.Fetch(t.Context(), s.Address(), &messenger.DocumentQuery{Name: "1"}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/connector/pool.go
+++ b/connector/pool.go
@@ -107,7 +107,7 @@
 	if err != nil {
 		return nil, &Error{Op: "dial " + address, Kind: KindUnsent, Err: err}
 	}
-	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: p.cfg.managerOptions()})
+	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(p.cfg.MaxMessageBytes)})
 	if err := p.greet(ctx, conn); err != nil {
 		_ = conn.Close()
 		return nil, &Error{Op: "greet " + address, Kind: KindUnsent, Err: err}
--- a/connector/server.go
+++ b/connector/server.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcctx"
@@ -24,7 +26,8 @@
 	cfg      Config
 	listener net.Listener
 	// handshakes maps each connection whose handshake is done to the peer's host name.
-	handshakes sync.Map
+	handshakes  sync.Map
+	connections atomic.Int64
 }
 
 // Listen returns a server that listens on a TCP address; it handles no calls before Serve.
@@ -50,7 +53,7 @@
 	if err := messenger.DRPCRegisterPeer(mux, &guard{Handler: h, server: s}); err != nil {
 		return &Error{Op: "register", Kind: KindProtocol, Err: err}
 	}
-	opts := drpcserver.Options{Manager: s.cfg.managerOptions()}
+	opts := drpcserver.Options{Manager: managerOptions(maxRequestBytes)}
 	return drpcserver.NewWithOptions(mux, opts).Serve(ctx, s.listener)
 }
 
@@ -110,7 +113,8 @@
 	return &Error{Op: op, Kind: KindProtocol, Err: cause}
 }
 
-// trackingListener accepts connections that remove their handshake when they close.
+// trackingListener accepts connections up to a maximum. Those without a handshake are closed, and
+// the others remove theirs when they close.
 type trackingListener struct {
 	net.Listener
 	server *Server
@@ -118,20 +122,40 @@
 
 // Accept waits for the next connection.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.connections.Add(1) <= maxServerConnections {
+			return l.server.track(conn), nil
+		}
+		l.server.connections.Add(-1)
+		_ = conn.Close()
 	}
-	return &trackedConn{Conn: conn, server: l.server}, nil
+}
+
+func (s *Server) track(conn net.Conn) *trackedConn {
+	c := &trackedConn{Conn: conn, server: s}
+	time.AfterFunc(handshakeTimeout, func() {
+		if _, ok := s.handshakes.Load(c); !ok {
+			_ = c.Close()
+		}
+	})
+	return c
 }
 
 type trackedConn struct {
 	net.Conn
 	server *Server
+	once   sync.Once
 }
 
 // Close removes the handshake and closes the connection.
 func (c *trackedConn) Close() error {
-	c.server.handshakes.Delete(c)
+	c.once.Do(func() {
+		c.server.handshakes.Delete(c)
+		c.server.connections.Add(-1)
+	})
 	return c.Conn.Close()
 }
