steerer, conductor: answer what a planned stop can't finish

Report of another operator: requests that came late in the grace period were passed on and cut at its end with no answer.

Cause: targets were chosen without regard to the end of the host, and the server waited for requests in flight until the process was killed.

From SIGTERM on, the time until the end counts like a deadline when a target is chosen, for retries too; what isn't expected to end in time gets 503 and a short Retry-After at once.

--- a/conductor/events.go
+++ b/conductor/events.go
@@ -21,7 +21,7 @@
 	eventStopping = logger.Define(1016, log.InfoLevel, "edge stopping",
 		"A graceful shutdown is in progress; the field `phase` names its phase.", "Nothing.")
 	eventStopTimeout = logger.Define(1017, log.ErrorLevel, "shutdown deadline reached",
-		"Requests were still in flight at the end of the grace period.",
+		"Requests were still in flight at the end of the grace period; their callers got 502.",
 		"Lengthen the grace period if this recurs.")
 	eventPanic = logger.Define(1019, log.ErrorLevel, "unexpected error",
 		"The handling of a request failed unexpectedly; its caller got 500 and the others go on.",
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -23,7 +23,7 @@
 		choice := s.deps.Selector.Choose(timer.Now(), s.query(q))
 		if !choice.Chosen() {
 			s.logNoTarget(q, &choice)
-			return s.failureResult(q, failure, reasonOf(choice.Reason), choice.RetryAfter)
+			return s.failureResult(q, failure, reasonOf(choice.Reason), s.retryAfter(&choice))
 		}
 		if !s.keyStillValid(q) {
 			s.deps.Selector.End(timer.Now(), &choice, s.query(q), selector.Result{})
@@ -38,11 +38,20 @@
 		}
 		failure = s.mergeFailure(failure, res)
 		if reason, retry := s.shouldRetry(ctx, q, res); !retry {
-			return s.failureResult(q, failure, reason, choice.RetryAfter)
+			return s.failureResult(q, failure, reason, s.retryAfter(&choice))
 		}
 	}
 }
 
+// retryAfter returns when a rejected request may return; other hosts may serve what this one can't
+// finish before it ends.
+func (s *Steerer) retryAfter(c *selector.Choice) time.Duration {
+	if s.leaving() {
+		return shortRetryAfter
+	}
+	return c.RetryAfter
+}
+
 func (s *Steerer) query(q *request) selector.Query {
 	return selector.Query{
 		Service:     q.service,
@@ -50,7 +59,7 @@
 		Object:      q.affinityKey,
 		HomeRegions: planner.HomeRegions(q.route, q.customer),
 		Objective:   q.route.Objective,
-		Timeout:     q.deadline.Sub(timer.Now()),
+		Timeout:     s.timeLeft(q),
 		Priority:    planner.Priority(q.route, q.customer),
 		CallerRetry: q.callerRetry,
 		Exclude:     q.triedTargets,
@@ -163,6 +172,8 @@
 func (s *Steerer) shouldRetry(ctx context.Context, q *request, res *attemptResult) (Reason, bool) {
 	now := timer.Now()
 	switch {
+	case s.aborted.Err() != nil:
+		return ReasonStopping, false
 	case ctx.Err() != nil || now.Add(retryMargin) >= q.deadline:
 		return ReasonTimeout, false
 	case res.mayHaveRun && !q.route.Idempotent():
@@ -208,6 +219,8 @@
 		return rejection(http.StatusServiceUnavailable, r, max(retryAfter, shortRetryAfter))
 	case r == ReasonTimeout:
 		return Result{Status: http.StatusGatewayTimeout, Reason: r}
+	case r == ReasonStopping:
+		return Result{Status: http.StatusBadGateway, Reason: r}
 	}
 	return Result{Status: http.StatusBadGateway, Reason: ReasonResponseLost}
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -92,6 +92,11 @@
 	inFlight     atomic.Int64
 	tokenWaiters waiterCount
 	stopping     atomic.Bool
+	// endsAt is the instant at which this host ends; 0 if it isn't known.
+	endsAt atomic.Int64
+	// aborted ends when the requests in flight must end.
+	aborted context.Context
+	abort   context.CancelFunc
 
 	mu              sync.Mutex
 	roundRobins     map[string]*roundRobin
@@ -110,6 +115,7 @@
 			InitialPercent: initialBudgetPercent, MaxAttempts: maxAttempts,
 		}),
 	}
+	s.aborted, s.abort = context.WithCancel(context.Background())
 	return s
 }
 
@@ -118,11 +124,6 @@
 	s.budget.SetBurst(max(s.cfg.RetryBurst/max(n, 1), 1))
 }
 
-// Stop makes the steerer reject all new requests; requests in flight continue.
-func (s *Steerer) Stop() {
-	s.stopping.Store(true)
-}
-
 // InFlight returns the number of requests in flight.
 func (s *Steerer) InFlight() int {
 	return int(s.inFlight.Load())
@@ -181,6 +182,8 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), q.deadline.Sub(timer.Now())+timeoutSlack)
 	defer cancel()
+	stop := context.AfterFunc(s.aborted, cancel)
+	defer stop()
 	s.deps.Selector.RecordRequest(q.service)
 	s.budget.Deposit(q.service)
 	return s.run(ctx, r.Context(), q)
