exchanger, steerer: believe only answers that name their request

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection; callers were told 'not run' for requests that ran, or such a request ran at a second target.

Cause: an answer counted as the request's own unless it named another one. A refusal that names none, on a connection that has carried other requests, may belong to any of them. Ruled out: copies that arrive between two requests close the connection, copies with another request's id are dropped.

On a connection that has carried other requests, answers of targets must echo the id; others end the connection and count as 'may have run'. A refusal counts only if it can't belong to an earlier request.

--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -22,6 +22,8 @@
 	id       string
 	idHeader string
 	limits   Limits
+	// echoRequired is Request.EchoRequired.
+	echoRequired bool
 	// parser parses the heads; bodies don't go through it, because it keeps what it can't parse yet.
 	parser *nbhttp.Parser
 	head   headCheck
@@ -30,8 +32,10 @@
 	response     Response
 	headerSize   int
 	interimCount int
-	started      bool
-	finished     bool
+	// firstOnConn is set when the connection carried no earlier exchange.
+	firstOnConn bool
+	started     bool
+	finished    bool
 	// closeAfter is set when the connection can't be reused after this exchange.
 	closeAfter bool
 	// bytesLeft is the number of bytes that a body of known length lacks.
@@ -48,12 +52,13 @@
 // this one is the largest, onEvict is called in a goroutine of its own.
 func newCall(r *Request, limits Limits, onEvict func(*call)) *call {
 	c := &call{
-		method:   r.Method,
-		id:       r.ID,
-		idHeader: r.idHeader(),
-		limits:   limits,
-		head:     headCheck{maxBytes: limits.MaxHeaderBytes},
-		done:     make(chan struct{}),
+		method:       r.Method,
+		id:           r.ID,
+		idHeader:     r.idHeader(),
+		limits:       limits,
+		echoRequired: r.EchoRequired,
+		head:         headCheck{maxBytes: limits.MaxHeaderBytes},
+		done:         make(chan struct{}),
 	}
 	c.account = limits.Transit.Open(func() { onEvict(c) })
 	c.response.Header = http.Header{}
@@ -245,12 +250,22 @@
 		c.fail(ErrIDMismatch)
 		return
 	}
+	c.response.Identified = c.firstOnConn || c.echoesID()
+	if c.echoRequired && c.id != "" && !c.response.Identified {
+		c.fail(ErrUnidentified)
+		return
+	}
 	if hasToken(c.response.Header.Values("Connection"), "close") {
 		c.closeAfter = true
 	}
 	c.finish()
 }
 
+// echoesID reports whether the response echoes the request's ID.
+func (c *call) echoesID() bool {
+	return c.id != "" && c.response.Header.Get(c.idHeader) == c.id
+}
+
 func (c *call) idMismatch() bool {
 	if c.id == "" {
 		return false
--- a/exchanger/connection.go
+++ b/exchanger/connection.go
@@ -144,6 +144,7 @@
 	}
 	cl := newCall(r, c.exchanger.limits, c.evict)
 	cl.parser = nbhttp.NewParser(c.nbc, c.exchanger.engine, cl, true, nil)
+	cl.firstOnConn = c.exchanges == 0
 	c.current = cl
 	c.exchanges++
 	return cl, nil
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -534,3 +534,36 @@
 		t.Fatalf("accepted with body %q", resp.Body)
 	}
 }
+
+// TestResponseWithoutIDMayBelongToAnotherRequest guards against an earlier response that a server
+// writes once more: without an ID, only the first response of a connection is known to be its
+// request's own.
+func TestResponseWithoutIDMayBelongToAnotherRequest(t *testing.T) {
+	e := newExchanger(t)
+	s := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for readRequest(r) != nil {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+		}
+	})
+	p := NewPool(e, PoolConfig{Address: s.address()})
+	defer p.Close()
+	for _, required := range []bool{false, true} {
+		first, err := p.ExchangeNewConn(t.Context(), get("id-1"))
+		if err != nil || !first.Identified {
+			t.Fatalf("%+v, %v", first, err)
+		}
+		r := get("id-2")
+		r.EchoRequired = required
+		second, err := p.Exchange(t.Context(), r)
+		if required {
+			wantError(t, err, KindUnknown, ErrUnidentified)
+			if p.NumOpen() != 1 {
+				t.Fatalf("%d connections are open, want the other one", p.NumOpen())
+			}
+			continue
+		}
+		if err != nil || second.Identified {
+			t.Fatalf("%+v, %v", second, err)
+		}
+	}
+}
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -23,6 +23,8 @@
 	ID string
 	// IDHeader is the header field that carries ID; empty stands for HeaderRequestID.
 	IDHeader string
+	// EchoRequired rejects responses without an ID on a connection that has carried other requests.
+	EchoRequired bool
 	// Method is the HTTP method.
 	Method string
 	// Path is an absolute path with an optional query.
@@ -43,6 +45,9 @@
 	Header http.Header
 	// Body is the whole body.
 	Body []byte
+	// Identified is set when the response echoes the ID of its request, or when its connection
+	// carried no other request: it can't belong to an earlier one.
+	Identified bool
 }
 
 func (r *Request) encode(address string) ([]byte, error) {
--- a/steerer/attempt.go
+++ b/steerer/attempt.go
@@ -32,8 +32,8 @@
 }
 
 // classify determines the outcome of a response. It discards a response with a Content-Encoding,
-// and one with a status below 500 but without the target's stamp, which something else may have
-// sent.
+// one with a status below 500 but without the target's stamp, which something else may have sent,
+// and a refusal that may belong to an earlier request of its connection.
 func classify(resp *exchanger.Response) *attemptResult {
 	res := &attemptResult{
 		response: resp, mayHaveRun: true, stamped: resp.Header.Get(platform.HeaderStamp) != "",
@@ -45,6 +45,10 @@
 	res.readHold(resp)
 	notRun := resp.Header.Get(platform.HeaderNotExecuted) != ""
 	switch {
+	case !resp.Identified && (notRun || resp.Status == http.StatusMisdirectedRequest):
+		res.response = nil
+		res.outcome = selector.OutcomeLost
+		res.cause = "the refusal may belong to an earlier request"
 	case resp.Status == http.StatusMisdirectedRequest:
 		res.mayHaveRun = false
 		res.outcome = selector.OutcomeMisdirected
--- a/steerer/sender.go
+++ b/steerer/sender.go
@@ -168,13 +168,14 @@
 ) *attemptResult {
 	remaining := q.deadline.Sub(timer.Now())
 	r := &exchanger.Request{
-		ID:       q.id,
-		IDHeader: platform.HeaderRequestID,
-		Method:   q.method,
-		Path:     q.uri,
-		Host:     q.host,
-		Header:   targetHeader(q, t, remaining),
-		Body:     q.body,
+		ID:           q.id,
+		IDHeader:     platform.HeaderRequestID,
+		EchoRequired: true,
+		Method:       q.method,
+		Path:         q.uri,
+		Host:         q.host,
+		Header:       targetHeader(q, t, remaining),
+		Body:         q.body,
 	}
 	p := s.pool(t)
 	var resp *exchanger.Response
