--- a/connector/pool.go
+++ b/connector/pool.go
@@ -107,7 +107,8 @@
 	if err != nil {
 		return nil, &Error{Op: "dial " + address, Kind: KindUnsent, Err: err}
 	}
-	conn := drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions(p.cfg.MaxMessageBytes)})
+	opts := drpcconn.Options{Manager: managerOptions(p.cfg.MaxMessageBytes)}
+	conn := drpcconn.NewWithOptions(raw, opts)
 	if err := p.greet(ctx, conn); err != nil {
 		_ = conn.Close()
 		return nil, &Error{Op: "greet " + address, Kind: KindUnsent, Err: err}
--- a/exchanger/error.go
+++ b/exchanger/error.go
@@ -35,8 +35,8 @@
 	ErrTruncated = errors.New("connection closed within the response")
 	// ErrIDMismatch is returned for a response that carries the ID of another request.
 	ErrIDMismatch = errors.New("response carries the ID of another request")
-	// ErrUnidentified is returned for a response without the required ID on a reused connection: it may
-	// belong to an earlier request.
+	// ErrUnidentified is returned for a response without the required ID on a reused connection: it
+	// may belong to an earlier request.
 	ErrUnidentified = errors.New("response without an ID on a reused connection")
 	// ErrTooLarge is returned for a response that exceeds a size limit.
 	ErrTooLarge = errors.New("response exceeds the size limit")
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -173,7 +173,9 @@
 			}
 			cancel()
 			for range limitBytes / bodyBytes {
-				<-ended
+				if err := <-ended; err == nil {
+					t.Fatal("a response without end was accepted")
+				}
 			}
 			if n := transit.UsedBytes(); n != 0 {
 				t.Fatalf("%d bytes are still held", n)
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -99,8 +99,8 @@
 	closed bool
 }
 
-// Take adds n bytes. It returns false if the account was evicted or closed, and if there is no room
-// because all other accounts are pinned; nothing was added then.
+// Take adds n bytes. It returns false if the account was evicted or closed, and if there is no
+// room because all other accounts are pinned; nothing was added then.
 func (a *Account) Take(n int) bool {
 	l := a.limiter
 	l.mu.Lock()
--- a/server/processor.go
+++ b/server/processor.go
@@ -96,8 +96,8 @@
 	p.ServerProcessor.OnHeader(parser, key, value)
 }
 
-// OnContentLength is called at the end of the header. It rejects bodies above the limit, bodies for
-// which there is no memory, and requests without exactly one Host field, which is optional in
+// OnContentLength is called at the end of the header. It rejects bodies above the limit, bodies
+// for which there is no memory, and requests without exactly one Host field, which is optional in
 // HTTP/1.0.
 func (p *processor) OnContentLength(parser *nbhttp.Parser, length int) {
 	p.reader.conn.headerDone.Store(true)
--- a/server/reader.go
+++ b/server/reader.go
@@ -163,15 +163,14 @@
 
 // readBody reads a part of the body.
 func (r *requestReader) readBody(data []byte) (int, *fault) {
-	n, part := len(data), data
+	n := min(len(data), r.bytesLeft)
+	part := data[:max(n, 0)]
 	if r.chunked != nil {
 		var err error
 		if n, part, err = r.chunked.Next(data); err != nil {
 			return 0, toFault(err)
 		}
 	} else {
-		n = min(n, r.bytesLeft)
-		part = data[:n]
 		r.bytesLeft -= n
 	}
 	if f := r.take(n); f != nil {
--- a/server/transit_test.go
+++ b/server/transit_test.go
@@ -144,7 +144,9 @@
 	})
 	for range 8 {
 		conn, _ := dial(t, s)
-		_ = conn.(*net.TCPConn).SetReadBuffer(1 << 10)
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetReadBuffer(1 << 10)
+		}
 		for {
 			if _, err := io.WriteString(conn, pipelined(1)); err != nil {
 				break
--- a/steerer/stop.go
+++ b/steerer/stop.go
@@ -6,8 +6,8 @@
 	"github.com/fescuethread/fescuethread/timer"
 )
 
-// Leave tells the steerer that this host ends at the given time: it sends a target no request whose
-// response is expected later.
+// Leave tells the steerer that this host ends at the given time: it sends a target no request
+// whose response is expected later.
 func (s *Steerer) Leave(end timer.Instant) {
 	s.endsAt.Store(int64(end))
 }
