server, conductor: keep a connection open while its last response waits

Now it closes when nothing waits, and a stopping host waits for unread responses until 600 ms before the end of its grace period. Responses may take 1/8 of host.memory in place of 1/16: four answers of 4 MB, each held twice while it is handed over, exceed 17.8 MiB on the smallest machine.

--- a/conductor/host.go
+++ b/conductor/host.go
@@ -46,7 +46,7 @@
 	requestsFraction = 1.0 / 8
 	// responsesFraction is the part of host.memory that responses may take while they are received
 	// and until callers have read them; two copies of each may exist besides.
-	responsesFraction = 1.0 / 16
+	responsesFraction = 1.0 / 8
 	// defaultMemoryMiB stands for host.memory where it is 0.
 	defaultMemoryMiB = 256
 	// reservedFiles is the number of file descriptors not used for callers' connections.
--- a/conductor/stop.go
+++ b/conductor/stop.go
@@ -66,10 +66,10 @@
 	return nil
 }
 
-// awaitRequests waits until no request is in flight, at most until end; it returns false if ctx
-// ends before.
+// awaitRequests waits until no request is in flight and callers have read their responses, at most
+// until end; it returns false if ctx ends before.
 func (h *Host) awaitRequests(ctx context.Context, end timer.Instant) bool {
-	for h.steerer.InFlight() > 0 && timer.Now() < end {
+	for (h.steerer.InFlight() > 0 || h.callerServer.Unsent()) && timer.Now() < end {
 		if !sleep(ctx, drainPollInterval) {
 			return false
 		}
--- a/server/connection.go
+++ b/server/connection.go
@@ -54,8 +54,8 @@
 	return c
 }
 
-// begin adds a pending request, which holds account until it ends. It returns false if the request counts as not read: the
-// connection is about to close, or too many requests are pending.
+// begin adds a pending request, which holds account until it ends. It returns false if the request
+// counts as not read: the connection is about to close, or too many requests are pending.
 func (c *connection) begin(account *limiter.Account) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -150,7 +150,7 @@
 	switch {
 	case c.pending > 0:
 		return retirePending
-	case c.closing || c.refused.Load():
+	case c.closing || c.refused.Load() || c.out.unsent():
 		return retireLingering
 	}
 	c.closing = true
@@ -204,7 +204,7 @@
 // checkTimeouts closes the connection if closeAt has passed, and refuses it if an incomplete
 // request takes too long to arrive.
 func (c *connection) checkTimeouts(now timer.Instant, cfg *Config) {
-	if at := timer.Instant(c.closeAt.Load()); at != 0 && now >= at && c.idle() {
+	if at := timer.Instant(c.closeAt.Load()); at != 0 && now >= at && c.idle() && !c.out.unsent() {
 		_ = c.raw.Close()
 		return
 	}
--- a/server/pipeline_test.go
+++ b/server/pipeline_test.go
@@ -289,3 +289,23 @@
 		t.Fatalf("got %s, want the connection closed", resp.Status)
 	}
 }
+
+// TestSlowReaderGetsItsLastResponse guards against a last response that is cut off while its caller
+// still reads it: the connection closes only when nothing waits in its write queue.
+func TestSlowReaderGetsItsLastResponse(t *testing.T) {
+	body := strings.Repeat("x", 7<<20)
+	s := start(t, 10, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, body) })
+	conn, r := dial(t, s)
+	write(t, conn, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(lingerTimeout + 3*sweepInterval)
+	if !s.Unsent() {
+		t.Fatal("the kernel has taken the whole response")
+	}
+	wantResponse(t, r, body)
+	if s.Unsent() {
+		t.Fatal("bytes wait that the caller has read")
+	}
+}
--- a/server/sender.go
+++ b/server/sender.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"sync/atomic"
 
 	"github.com/lesismal/nbio"
 
@@ -13,6 +14,8 @@
 type sendConn struct {
 	*nbio.Conn
 	account *limiter.Account
+	// unsentBytes is the number of bytes that wait in the write queue.
+	unsentBytes atomic.Int64
 }
 
 func newSendConn(raw *nbio.Conn, responses *limiter.Limiter) *sendConn {
@@ -26,10 +29,17 @@
 		_ = s.Close()
 		return 0, net.ErrClosed
 	}
+	s.unsentBytes.Add(int64(len(data)))
 	return s.Conn.Write(data)
 }
 
+// unsent reports whether bytes wait in the write queue; closing the connection would lose them.
+func (s *sendConn) unsent() bool {
+	return s.unsentBytes.Load() > 0
+}
+
 // written releases n bytes that the kernel has taken.
 func (s *sendConn) written(n int) {
 	s.account.Release(n)
+	s.unsentBytes.Add(-int64(n))
 }
--- a/server/server.go
+++ b/server/server.go
@@ -78,6 +78,17 @@
 	return int(s.openConns.Load())
 }
 
+// Unsent reports whether callers have not read all of their responses yet.
+func (s *Server) Unsent() bool {
+	unsent := false
+	s.conns.Range(func(_, v interface{}) bool {
+		c, ok := v.(*connection)
+		unsent = ok && c.out.unsent()
+		return !unsent
+	})
+	return unsent
+}
+
 func (s *Server) newEngine() *nbhttp.Engine {
 	e := nbhttp.NewEngine(nbhttp.Config{
 		Name:               "callers",
@@ -91,7 +102,7 @@
 	})
 	e.OnRequest = s.prepare
 	e.Engine.OnClose(func(raw *nbio.Conn, _ error) { s.remove(raw) })
-	e.Engine.OnWrittenSize(s.written)
+	e.OnWrittenSize(s.written)
 	return e
 }
 
