--- a/exchanger/call.go
+++ b/exchanger/call.go
@@ -27,6 +27,8 @@
 	// parser parses the heads; bodies don't go through it, because it keeps what it can't parse yet.
 	parser *nbhttp.Parser
 	head   headCheck
+	// headParsed is set when the parser has found the end of the head, too.
+	headParsed bool
 	// account holds the bytes that were received.
 	account      *limiter.Account
 	response     Response
@@ -99,6 +101,9 @@
 		}
 		data = data[n:]
 	}
+	if c.head.done && !c.headParsed {
+		return nil, errors.WithMessage(ErrMalformed, "head without end for the parser")
+	}
 	return data, nil
 }
 
@@ -243,6 +248,7 @@
 	}
 	c.response = Response{Header: http.Header{}}
 	c.head = headCheck{maxBytes: c.limits.MaxHeaderBytes}
+	c.headParsed = false
 }
 
 func (c *call) complete() {
--- a/exchanger/fuzz_test.go
+++ b/exchanger/fuzz_test.go
@@ -46,6 +46,7 @@
 		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nhi",
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nhi!",
 		"HTTP/1.1 200 OK\r\n\r\nhi",
+		"HTTP/1.0 000 \n\r\n00",
 	} {
 		f.Add([]byte(seed))
 	}
--- a/exchanger/header.go
+++ b/exchanger/header.go
@@ -68,6 +68,7 @@
 
 // OnContentLength implements nbhttp.Processor; the parser calls it at the end of the header.
 func (c *call) OnContentLength(_ *nbhttp.Parser, length int) {
+	c.headParsed = true
 	if c.finished {
 		return
 	}
--- a/server/fuzz_test.go
+++ b/server/fuzz_test.go
@@ -84,6 +84,8 @@
 		"POST * HTTP/1.1\r\nContent-Length:0\r\n 0000:GET /b HTTP/1.1\r\nHost: x\r\n\r\n",
 		"POST * HTTP/1.0\r\n0:0\x7fGET /b HTTP/1.1\r\nHost: x\r\n\r\n",
 		"POST / HTTP/0.0\r\n\r\n",
+		"POST * \n\n",
+		"POST * HTTP/1.1\r\nHost:\r\nTransfer-Encoding: chunked\r\n\r\n00\r\n",
 		"POST /1 HTTP/0.7\r\n0:0\r\nTransfer-Encoding: Chunked\r\n\r\n0\r\n\r\n",
 	} {
 		f.Add([]byte(seed))
--- a/server/reader.go
+++ b/server/reader.go
@@ -27,6 +27,8 @@
 	account *limiter.Account
 	// requests is the number of complete requests.
 	requests int
+	// headParsed is set when the parser has found the end of the head.
+	headParsed bool
 	// lineBytes is the length of the current line of the head so far.
 	lineBytes int
 	// bytesLeft is the number of bytes that a body of known length lacks.
@@ -149,11 +151,15 @@
 	if err != nil {
 		return 0, toFault(err)
 	}
+	if r.lines.ended && !r.headParsed {
+		return 0, malformedLine()
+	}
 	return n, nil
 }
 
 // beginBody prepares for the body after a head.
 func (r *requestReader) beginBody(length int, chunked bool) {
+	r.headParsed = true
 	r.bytesLeft = length
 	if chunked {
 		limits := r.processor.limits()
@@ -201,5 +207,6 @@
 	r.account = nil
 	r.requests++
 	r.lines = lineCheck{}
+	r.headParsed = false
 	return account
 }
