decoder: accept only trailers and sizes that every reader accepts

A trailer field is a token, a colon and a value without control characters; a size has at most 16 digits.

--- a/decoder/chunked.go
+++ b/decoder/chunked.go
@@ -1,6 +1,9 @@
 package decoder
 
-import "math"
+import (
+	"math"
+	"strings"
+)
 
 const (
 	// MaxSizeLineBytes is the maximum length of a chunk's size line, with its extensions.
@@ -10,6 +13,10 @@
 	freeFramingBytes     = 16 << 10
 	framingBytesPerChunk = 16
 	framingBytesPerByte  = 2
+	// maxSizeDigits is the maximum number of digits of a chunk size, with leading zeros.
+	maxSizeDigits = 16
+	// del is the control character DEL.
+	del = 0x7f
 	// hexBits is the number of bits of a hexadecimal digit.
 	hexBits = 4
 )
@@ -26,7 +33,8 @@
 	stateDataCR
 	stateDataLF
 	stateTrailerStart
-	stateTrailerLine
+	stateTrailerName
+	stateTrailerValue
 	stateTrailerLF
 	stateEndLF
 	stateDone
@@ -124,7 +132,7 @@
 
 func (c *Chunked) addDigit(b byte) error {
 	digit, ok := hexValue(b)
-	if !ok {
+	if !ok || c.digits == maxSizeDigits {
 		return &Error{Op: "chunk size", Kind: KindMalformed}
 	}
 	if c.left > math.MaxInt>>hexBits {
@@ -168,21 +176,43 @@
 			c.state = stateEndLF
 			return nil
 		}
-		c.state = stateTrailerLine
+		if !isToken(b) {
+			return &Error{Op: "trailer", Kind: KindMalformed}
+		}
+		c.state = stateTrailerName
 	case stateTrailerLF:
 		return c.expect(b, '\n', stateTrailerStart)
 	case stateEndLF:
 		return c.expect(b, '\n', stateDone)
 	}
-	switch b {
-	case '\r':
+	return c.nextInTrailerField(b)
+}
+
+// nextInTrailerField decodes a byte of a trailer field. Only what every reader takes for a field
+// is skipped: another request must not hide there.
+func (c *Chunked) nextInTrailerField(b byte) error {
+	switch {
+	case c.state == stateTrailerName && b == ':':
+		c.state = stateTrailerValue
+	case c.state == stateTrailerName && isToken(b):
+	case c.state == stateTrailerValue && b == '\r':
 		c.state = stateTrailerLF
-	case '\n':
+	case c.state == stateTrailerValue && (b >= ' ' && b != del || b == '\t'):
+	default:
 		return &Error{Op: "trailer", Kind: KindMalformed}
 	}
 	return nil
 }
 
+// isToken reports whether b may be part of a field's name.
+func isToken(b byte) bool {
+	switch {
+	case b >= '0' && b <= '9', b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // expect moves to the next state if b is the expected byte.
 func (c *Chunked) expect(b, want byte, next state) error {
 	if b != want {
--- a/decoder/chunked_test.go
+++ b/decoder/chunked_test.go
@@ -71,6 +71,9 @@
 		"many chunks":     {strings.Repeat("1\r\na\r\n", bodyLimit+1), KindBodyTooLarge},
 		"trailer line":    {"0\r\nA: " + long, KindTrailerTooLarge},
 		"trailer fields":  {"0\r\n" + strings.Repeat("A: b\r\n", 1<<10), KindTrailerTooLarge},
+		"request":         {"0\r\nGET /end HTTP/1.1\r\nA: b\r\n\r\n", KindMalformed},
+		"folded trailer":  {"0\r\nA: b\r\n c\r\n\r\n", KindMalformed},
+		"nameless":        {"0\r\n: b\r\n\r\n", KindMalformed},
 		"bare line feed":  {"1\na\n0\n\n", KindMalformed},
 		"no line end":     {"1\r\nab\r\n0\r\n\r\n", KindMalformed},
 	} {
