--- a/conductor/host.go
+++ b/conductor/host.go
@@ -41,14 +41,6 @@
 	// memoryLimitFraction is the Go runtime's memory limit as a fraction of host.memory; near the
 	// limit the garbage collector runs more often.
 	memoryLimitFraction = 0.7
-	// requestsFraction is the part of host.memory that requests may take from their first byte to
-	// their response; two copies of the body may exist besides while it is sent to a target.
-	requestsFraction = 1.0 / 8
-	// responsesFraction is the part of host.memory that responses may take while they are received
-	// and until callers have read them; two copies of each may exist besides.
-	responsesFraction = 1.0 / 8
-	// defaultMemoryMiB stands for host.memory where it is 0.
-	defaultMemoryMiB = 256
 	// reservedFiles is the number of file descriptors not used for callers' connections.
 	reservedFiles = 800
 	// minCallerConnections is the smallest limit on callers' connections.
@@ -230,15 +222,6 @@
 	return err
 }
 
-// memoryPart returns a part of the memory that the process may use, in bytes.
-func (h *Host) memoryPart(fraction float64) int64 {
-	memory := h.settings.Host.Memory
-	if memory <= 0 {
-		memory = defaultMemoryMiB
-	}
-	return int64(fraction * float64(memory<<20))
-}
-
 // changeTimeout returns the time within which every change in the store must take effect: the
 // shortest of the bounds that are set, and at most defaultChangeTimeout.
 func changeTimeout(b platform.Bounds) time.Duration {
