--- a/planner/plan.go
+++ b/planner/plan.go
@@ -18,6 +18,8 @@
 	KindOnce Kind = "once"
 	// KindUpload is the kind of requests with a large body that may run at most once.
 	KindUpload Kind = "upload"
+	// KindDownload is the kind of requests with a large response that may run more than once.
+	KindDownload Kind = "download"
 )
 
 // WeightedService is a service that receives a share of a route's requests.
@@ -59,7 +61,7 @@
 
 // Idempotent reports whether requests may run more than once.
 func (r *Route) Idempotent() bool {
-	return r.Kind == KindIdempotent
+	return r.Kind == KindIdempotent || r.Kind == KindDownload
 }
 
 // Service is a group of targets that serve the same requests.
