--- a/selector/target.go
+++ b/selector/target.go
@@ -66,6 +66,9 @@
 	Waiting int
 	// Slots is the number of requests that can run at once.
 	Slots int
+	// Slowdown is how many times longer than usual work takes on the target's machine at this
+	// moment; 0 if the target doesn't say.
+	Slowdown float64
 }
 
 // Outcome classifies the result of an attempt at a target.
--- a/steerer/attempt.go
+++ b/steerer/attempt.go
@@ -38,9 +38,7 @@
 	res := &attemptResult{
 		response: resp, mayHaveRun: true, stamped: resp.Header.Get(platform.HeaderStamp) != "",
 	}
-	if load, ok := platform.ParseLoad(resp.Header.Get(platform.HeaderLoad)); ok {
-		res.load = &load
-	}
+	res.readLoad(resp)
 	res.leaving = resp.Header.Get(platform.HeaderLeaving) == leavingValue
 	res.readHold(resp)
 	notRun := resp.Header.Get(platform.HeaderNotExecuted) != ""
@@ -97,6 +95,8 @@
 	outcome  selector.Outcome
 	response *exchanger.Response
 	load     *selector.Load
+	// invalidLoad is the cause why the load report can't be parsed; nil if it can or there is none.
+	invalidLoad error
 	// leaving means that the target is shutting down.
 	leaving bool
 	// holdFor is how long the target wants no requests; 0 if it didn't say.
@@ -114,6 +114,20 @@
 	cause       string
 }
 
+// readLoad reads the load that the target reports.
+func (r *attemptResult) readLoad(resp *exchanger.Response) {
+	value := resp.Header.Get(platform.HeaderLoad)
+	if value == "" {
+		return
+	}
+	load, err := platform.ParseLoad(value)
+	if err != nil {
+		r.invalidLoad = err
+		return
+	}
+	r.load = &load
+}
+
 // readHold reads how long the target wants no requests, from the Retry-After of a 503 response.
 func (r *attemptResult) readHold(resp *exchanger.Response) {
 	value := resp.Header.Get("Retry-After")
--- a/steerer/events.go
+++ b/steerer/events.go
@@ -23,6 +23,10 @@
 	EventTargetHeld = logger.Define(1125, log.InfoLevel, "target held off",
 		"A target said in a response that it is shutting down, or for how long it wants no requests.",
 		"If `invalid` isn't empty, report the field's value to the target's owner.")
+	// EventLoadInvalid is logged when a target's load report can't be parsed.
+	EventLoadInvalid = logger.Define(1126, log.WarnLevel, "load report ignored",
+		"A target's load report can't be parsed; it is logged once in a while, and counted each time.",
+		"Report the cause to the target's owner; the target counts as loaded by this host only.")
 	// EventEnded is logged when a request that was sent to a target ends.
 	EventEnded = logger.Define(1122, log.InfoLevel, "request ended",
 		"A request ended with the status and reason in the fields.", "Nothing.")
--- a/steerer/hold_test.go
+++ b/steerer/hold_test.go
@@ -72,3 +72,22 @@
 		}
 	}
 }
+
+// TestInvalidLoadReportIsCounted guards against a load report that is dropped in silence; the
+// response itself is returned.
+func TestInvalidLoadReportIsCounted(t *testing.T) {
+	target := startTarget(t, "t0", func(q *http.Request, _ int) string {
+		return okHead + platform.HeaderLoad + ": 1,2\r\nX-Request-Id: " +
+			q.Header.Get(platform.HeaderRequestID) + "\r\nContent-Length: 2\r\n\r\nhi"
+	})
+	w := newFixture(t, target)
+	before := w.steerer.deps.Stats.invalidLoads.Get()
+	for range 3 {
+		if resp := w.send("GET", "/look/a", millKey); resp.Code != http.StatusOK {
+			t.Fatalf("status %d", resp.Code)
+		}
+	}
+	if n := w.steerer.deps.Stats.invalidLoads.Get() - before; n != 3 {
+		t.Fatalf("%d of 3 invalid reports were counted", n)
+	}
+}
--- a/steerer/run.go
+++ b/steerer/run.go
@@ -120,6 +120,7 @@
 		Leaving: res.leaving, HoldFor: res.holdFor,
 	})
 	s.logHold(q, res)
+	s.logInvalidLoad(ended, q, res)
 	s.deps.Stats.countAttempt(q.service, outcomeName(res.outcome), ended.Sub(now))
 	s.endPermit(ended, q, res)
 	if !res.usable() {
@@ -254,6 +255,21 @@
 		logger.F("limit_ms", selector.MaxHold.Milliseconds()), logger.F("invalid", res.invalidHold))
 }
 
+// logInvalidLoad counts a load report that can't be parsed, and logs one per invalidLoadInterval.
+func (s *Steerer) logInvalidLoad(now timer.Instant, q *request, res *attemptResult) {
+	if res.invalidLoad == nil {
+		return
+	}
+	s.deps.Stats.invalidLoads.Inc()
+	last := s.invalidLoadAt.Load()
+	if last != 0 && now.Sub(timer.Instant(last)) < invalidLoadInterval ||
+		!s.invalidLoadAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	s.deps.Log.Log(EventLoadInvalid, logger.F("request", q.id), logger.F("target", q.lastTarget),
+		logger.F("cause", res.invalidLoad.Error()))
+}
+
 // round rounds to one decimal place.
 func round(v float64) float64 {
 	return float64(int(v*10+0.5)) / 10
--- a/steerer/stats.go
+++ b/steerer/stats.go
@@ -9,12 +9,16 @@
 
 // Stats updates the metrics of requests, attempts and store calls.
 type Stats struct {
-	writeErrors *metrics.Counter
+	writeErrors  *metrics.Counter
+	invalidLoads *metrics.Counter
 }
 
 // NewStats returns the process-wide metrics; all instances share them.
 func NewStats() *Stats {
-	return &Stats{writeErrors: metrics.GetOrCreateCounter("fescuethread_answers_unwritten_total")}
+	return &Stats{
+		writeErrors:  metrics.GetOrCreateCounter("fescuethread_answers_unwritten_total"),
+		invalidLoads: metrics.GetOrCreateCounter("fescuethread_load_reports_invalid_total"),
+	}
 }
 
 func (s *Stats) countRequest(route string, r Result, elapsed time.Duration) {
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -35,6 +35,8 @@
 	// callerRetryPercent is a percentage of the longest timeout that callers have set on a route; a
 	// shorter timeout indicates a retry by the caller, which has less time left.
 	callerRetryPercent = 99
+	// invalidLoadInterval is the minimum time between two log lines about invalid load reports.
+	invalidLoadInterval = time.Second
 	// shortRetryAfter is the shortest Retry-After that is sent; it is used if another host may be
 	// able to serve the request immediately.
 	shortRetryAfter = 50 * time.Millisecond
@@ -94,6 +96,8 @@
 	stopping     atomic.Bool
 	// endsAt is the instant at which this host ends; 0 if it isn't known.
 	endsAt atomic.Int64
+	// invalidLoadAt is when an invalid load report was last logged; 0 means never.
+	invalidLoadAt atomic.Int64
 	// aborted ends when the requests in flight must end.
 	aborted context.Context
 	abort   context.CancelFunc
