--- a/selector/search.go
+++ b/selector/search.go
@@ -206,15 +206,16 @@
 }
 
 // probe chooses a failing target of the region to find out whether it has recovered, each target
-// at most once per probeInterval. Urgent requests and retries are not used as probes.
+// at most once per probeInterval. Urgent requests are used as probes only if there was no other one
+// for long, since a service may have nothing but urgent requests; retries never are.
 func (x *search) probe(zones []string) (Choice, bool) {
-	if x.q.Priority <= maxUrgentPriority || len(x.q.Exclude) > 0 {
+	if len(x.q.Exclude) > 0 {
 		return Choice{}, false
 	}
 	for _, zone := range zones {
 		for _, t := range x.svc.zones[zone] {
 			if t.usable(x.now) && t.failing() && !t.unresponsive(x.now) &&
-				x.now.Sub(t.lastProbe) >= probeInterval && x.belowColdLimit(t) && x.hasFreeSlot(t) {
+				x.probeDue(t) && x.belowColdLimit(t) && x.hasFreeSlot(t) {
 				return x.choose(t, RuleProbe), true
 			}
 		}
@@ -222,6 +223,14 @@
 	return Choice{}, false
 }
 
+// probeDue reports whether the request may be used as the next probe of a failing target.
+func (x *search) probeDue(t *target) bool {
+	if x.q.Priority <= maxUrgentPriority {
+		return x.now.Sub(max(t.lastProbe, t.lastResponse)) >= urgentProbeInterval
+	}
+	return x.now.Sub(t.lastProbe) >= probeInterval
+}
+
 // searchUnhealthy chooses the target with the lowest failure rate when none is healthy: if all
 // targets look unhealthy, the health data is more likely wrong than right.
 func (x *search) searchUnhealthy() Choice {
--- a/selector/shares.go
+++ b/selector/shares.go
@@ -26,8 +26,8 @@
 	// overloaded; zones with a share below minOverloadShare are ignored.
 	overloadUtilization = 0.8
 	minOverloadShare    = 0.03
-	// commonFailureFraction is the fraction of failing targets, of a service's usable ones, above
-	// which failures are ignored.
+	// commonFailureFraction is the fraction of failing targets, of a service's usable ones that this
+	// host has sent requests to, above which failures are ignored.
 	commonFailureFraction = 0.4
 	// demandTTL is the age after which a host's demand is ignored.
 	demandTTL = 5 * time.Second
@@ -90,12 +90,13 @@
 }
 
 // detectCommonFailure sets commonFailure on all targets while a large fraction of them fail:
-// excluding the failing ones would leave too few targets to serve the requests.
+// excluding the failing ones would leave too few targets to serve the requests. Targets without an
+// outcome, as those of other regions, don't count.
 func (svc *service) detectCommonFailure(now timer.Instant) {
 	failing, all := 0, 0
 	for _, list := range svc.zones {
 		for _, t := range list {
-			if !t.usable(now) {
+			if !t.usable(now) || t.lastResponse == 0 {
 				continue
 			}
 			all++
--- a/selector/target.go
+++ b/selector/target.go
@@ -22,6 +22,8 @@
 	maxFailureRate = 0.3
 	// probeInterval is the minimum interval between two probes of a target.
 	probeInterval = 400 * time.Millisecond
+	// urgentProbeInterval is that interval for probes with urgent requests.
+	urgentProbeInterval = time.Second
 	// minEjectionTime and maxEjectionTime limit the time for which a target is ejected; it doubles
 	// with each ejection in a row.
 	minEjectionTime = 500 * time.Millisecond
