--- a/selector/estimate.go
+++ b/selector/estimate.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuethread/fescuethread/placer"
 )
 
 // utilization returns the load per slot; a slow target counts as more loaded.
 func (x *search) utilization(t *target) float64 {
-	return t.load(x.now) * t.latencyRatio / float64(t.Slots)
+	return t.load(x.now) * t.latencyRatio * t.slowdown.factor(x.now) / float64(t.Slots)
 }
 
 func (x *search) hasFreeSlot(t *target) bool {
@@ -28,12 +30,18 @@
 func (x *search) wait(t *target) time.Duration {
 	slots := float64(t.Slots)
 	waiting := max(t.load(x.now)+1-slots, 0)
-	return time.Duration(float64(x.serviceLatency) * max(t.latencyRatio, 1) * waiting / slots)
+	return time.Duration(float64(x.serviceLatency) * x.slowness(t) * waiting / slots)
 }
 
 // expectedLatency estimates the time to the response, including the wait.
 func (x *search) expectedLatency(t *target) time.Duration {
-	return x.wait(t) + time.Duration(float64(x.baseLatency)*max(t.latencyRatio, 1))
+	return x.wait(t) + time.Duration(float64(x.baseLatency)*x.slowness(t))
+}
+
+// slowness estimates how many times longer than the average the target takes, by its responses and
+// by what it says of its machine.
+func (x *search) slowness(t *target) float64 {
+	return max(t.latencyRatio, t.slowdown.factor(x.now), 1)
 }
 
 // inTime reports whether the wait is within maxWait and the response is expected before the
@@ -71,10 +79,10 @@
 	if hosts <= limit {
 		return limit / hosts
 	}
-	score := mix(t.hash ^ xxhash.Sum64String(s.cfg.Host))
+	score := placer.Mix(t.hash ^ xxhash.Sum64String(s.cfg.Host))
 	ahead := 0
 	for _, name := range s.hosts {
-		if name != s.cfg.Host && mix(t.hash^xxhash.Sum64String(name)) > score {
+		if name != s.cfg.Host && placer.Mix(t.hash^xxhash.Sum64String(name)) > score {
 			ahead++
 		}
 	}
--- a/selector/list.go
+++ b/selector/list.go
@@ -42,6 +42,7 @@
 	restarted := ok && (old.StartMillis != t.StartMillis || old.Address != t.Address)
 	if !ok || restarted {
 		fresh := newTarget(t)
+		fresh.listedAt = now
 		fresh.coldUntil = now.Add(s.initialColdPeriod(t))
 		if restarted {
 			fresh.coldSent = old.coldSent
@@ -82,6 +83,9 @@
 		}
 	}
 	s.evacuated = next
+	for _, svc := range s.services {
+		s.placeTargets(svc)
+	}
 }
 
 // index groups the targets by service and availability zone, sorted by ID.
@@ -89,7 +93,10 @@
 	for _, svc := range s.services {
 		svc.zones = map[string][]*target{}
 	}
+	s.seen = slices.DeleteFunc(s.seen, func(t *target) bool { return s.targets[t.ID] != t })
+	clear(s.byView)
 	for _, t := range s.targets {
+		s.byView[t.viewHash()] = t
 		svc := s.service(t.Service)
 		svc.zones[t.Zone] = append(svc.zones[t.Zone], t)
 	}
@@ -102,5 +109,6 @@
 				return 1
 			})
 		}
+		s.placeTargets(svc)
 	}
 }
--- a/selector/search.go
+++ b/selector/search.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/fescuethread/fescuethread/placer"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -52,6 +53,9 @@
 	RuleSecondary Rule = "second of object"
 	// RuleQueued chooses the object's first or second target although the request has to wait there.
 	RuleQueued Rule = "queue of object"
+	// RuleRelief chooses the object's second target because the first one is full and the second one
+	// is expected to respond sooner.
+	RuleRelief Rule = "relief of first"
 	// RuleLeastLoaded chooses the least loaded healthy target.
 	RuleLeastLoaded Rule = "least loaded"
 	// RuleUnhealthy chooses an unhealthy target because no healthy one is left.
@@ -104,6 +108,14 @@
 	return x
 }
 
+// choose chooses a target by the object's places, if it has some, or by the zones' shares.
+func (x *search) choose() Choice {
+	if x.s.placed() {
+		return x.runPlaced()
+	}
+	return x.run()
+}
+
 // run searches the regions in order of preference. It goes on to the next region only if a region
 // has no healthy target at all: load alone must not move requests between regions.
 func (x *search) run() Choice {
@@ -138,7 +150,7 @@
 	}
 	if t := x.leastLoaded(zones); t != nil &&
 		x.utilization(t) < maxFallbackUtilization && x.inTime(t) {
-		return x.choose(t, RuleLeastLoaded), true
+		return x.chosen(t, RuleLeastLoaded), true
 	}
 	return x.refuseOverloaded(first), true
 }
@@ -149,13 +161,13 @@
 func (x *search) byObject(first, second *target) (Choice, bool) {
 	switch {
 	case x.available(first):
-		return x.choose(first, RulePrimary), true
+		return x.chosen(first, RulePrimary), true
 	case x.canQueue(first) && x.inTime(first):
-		return x.choose(first, RuleQueued), true
+		return x.chosen(first, RuleQueued), true
 	case x.available(second):
-		return x.choose(second, RuleSecondary), true
+		return x.chosen(second, RuleSecondary), true
 	case x.canQueue(second) && x.inTime(second):
-		return x.choose(second, RuleQueued), true
+		return x.chosen(second, RuleQueued), true
 	}
 	return Choice{}, false
 }
@@ -167,7 +179,7 @@
 	if t == nil || t.inFlight > 0 {
 		return x.refuse(ReasonFull)
 	}
-	return x.choose(t, RuleLeastLoaded)
+	return x.chosen(t, RuleLeastLoaded)
 }
 
 // topTwo returns the object's first and second healthy target in a zone by rendezvous hashing.
@@ -177,7 +189,7 @@
 		if !t.healthy(x.now) || x.tried(t) {
 			continue
 		}
-		score := mix(t.hash ^ x.objectHash)
+		score := placer.Mix(t.hash ^ x.objectHash)
 		switch {
 		case first == nil || score > firstScore:
 			second, secondScore = first, firstScore
@@ -206,8 +218,8 @@
 }
 
 // probe chooses a failing target of the region to find out whether it has recovered, each target
-// at most once per probeInterval. Urgent requests are used as probes only if there was no other one
-// for long, since a service may have nothing but urgent requests; retries never are.
+// at most once per probeInterval. Urgent requests are used as probes only if there was no other
+// probe for long, since a service may have nothing but urgent requests; retries never are.
 func (x *search) probe(zones []string) (Choice, bool) {
 	if len(x.q.Exclude) > 0 {
 		return Choice{}, false
@@ -216,7 +228,7 @@
 		for _, t := range x.svc.zones[zone] {
 			if t.usable(x.now) && t.failing() && !t.unresponsive(x.now) &&
 				x.probeDue(t) && x.belowColdLimit(t) && x.hasFreeSlot(t) {
-				return x.choose(t, RuleProbe), true
+				return x.chosen(t, RuleProbe), true
 			}
 		}
 	}
@@ -252,10 +264,10 @@
 	if best == nil {
 		return x.refuseHeldOff()
 	}
-	return x.choose(best, RuleUnhealthy)
+	return x.chosen(best, RuleUnhealthy)
 }
 
-func (x *search) choose(t *target, rule Rule) Choice {
+func (x *search) chosen(t *target, rule Rule) Choice {
 	return Choice{
 		Reason:          ReasonChosen,
 		Target:          t.Target,
@@ -264,6 +276,7 @@
 		ExpectedLatency: x.expectedLatency(t),
 		target:          t,
 		baseLatency:     x.baseLatency,
+		queued:          !x.hasFreeSlot(t),
 	}
 }
 
@@ -282,12 +295,3 @@
 func (x *search) refuse(reason Reason) Choice {
 	return Choice{Reason: reason, RetryAfter: minRetryAfter + rand.N(retryAfterJitter)}
 }
-
-// mix is the 64-bit finalizer of MurmurHash3: every input bit affects every output bit.
-func mix(v uint64) uint64 {
-	v ^= v >> 33
-	v *= 0xff51afd7ed558ccd
-	v ^= v >> 33
-	v *= 0xc4ceb9fe1a85ec53
-	return v ^ v>>33
-}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -24,6 +24,10 @@
 	// MaxShiftFraction is the largest fraction of a region's requests that may move to another region
 	// within ShiftWindow; 0 means no limit.
 	MaxShiftFraction float64
+	// Placement says whether objects have fixed places.
+	Placement PlacementMode
+	// Pressure says that callers press for more than there is room; see PlacementAuto.
+	Pressure bool
 }
 
 // Reason says whether a request got a target, and if not, why.
@@ -72,6 +76,8 @@
 	Target Target
 	// Rule is the rule by which the target was chosen.
 	Rule Rule
+	// Move says whether and why the object had another target the last time; empty without an object.
+	Move Move
 	// Load is the estimated number of requests that run or wait at the target.
 	Load float64
 	// ExpectedLatency is the estimated time to the response.
@@ -81,6 +87,8 @@
 
 	target      *target
 	baseLatency time.Duration
+	// queued says that the request was expected to wait for a slot.
+	queued bool
 }
 
 // Chosen reports whether the request has a target.
@@ -115,6 +123,13 @@
 	evacuated map[string]bool
 	demands   map[string]Demand
 	departed  map[string]departed
+	// byView maps the targets' hashes in views to the targets.
+	byView map[uint32]*target
+	// seen lists the targets with outcomes that peers haven't been told of.
+	seen  []*target
+	moves *moveLog
+	// sharedMachines says that a target has reported how much others on its machine slow it down.
+	sharedMachines bool
 	// populated is set by the first call of SetTargets.
 	populated bool
 }
@@ -141,6 +156,8 @@
 	capacity map[string]float64
 	meter    demandMeter
 	routes   map[string]*routeStats
+	// regions holds the targets on which objects are placed, by region.
+	regions map[string]*region
 }
 
 // New returns a selector without targets.
@@ -152,6 +169,8 @@
 		evacuated: map[string]bool{},
 		demands:   map[string]Demand{},
 		departed:  map[string]departed{},
+		byView:    map[uint32]*target{},
+		moves:     newMoveLog(),
 	}
 }
 
@@ -223,6 +242,7 @@
 	s.pruneDeparted(now)
 	s.pruneDemands(now)
 	for name, svc := range s.services {
+		s.markPlaced(svc)
 		svc.meter.tick(now)
 		svc.detectCommonFailure(now)
 		s.updateShares(now, name, svc)
@@ -246,9 +266,10 @@
 		s.updateShares(now, q.Service, svc)
 	}
 	search := s.newSearch(now, q, svc)
-	c := search.run()
+	c := search.choose()
 	if c.Chosen() {
 		c.target.begin(now, c.baseLatency)
+		s.moves.observe(search, &c)
 	}
 	return c
 }
@@ -260,7 +281,15 @@
 	svc := s.service(q.Service)
 	r.BaseLatency = c.baseLatency
 	c.target.end(now, r, svc.config.ColdPeriod+coldMargin, svc.meter.latency)
-	if r.Outcome == OutcomeAnswered {
+	if r.Report != nil && r.Report.Slowdown > 0 {
+		s.sharedMachines = true
+	}
+	placed := s.placed()
+	if placed {
+		s.recordView(c.target, r, c.target.observeLevel(now, r))
+	}
+	// Where objects have places, the time without waiting says how long a slot is taken.
+	if r.Outcome == OutcomeAnswered && (!placed || !c.queued || svc.meter.latency == 0) {
 		svc.route(q.Route).observe(r.Latency)
 		svc.meter.observe(r.Latency)
 	}
--- a/selector/shares.go
+++ b/selector/shares.go
@@ -22,6 +22,8 @@
 	// normalStepFraction is that fraction while no zone is overloaded. It is small because each
 	// object that moves to another target causes a cache miss there.
 	normalStepFraction = 0.01
+	// placedStepFraction is that fraction where objects have places.
+	placedStepFraction = 0.1
 	// overloadUtilization is the fraction of a zone's slots in use at which the zone counts as
 	// overloaded; zones with a share below minOverloadShare are ignored.
 	overloadUtilization = 0.8
@@ -55,10 +57,7 @@
 		svc.shares = desired
 		return
 	}
-	step := normalStepFraction
-	if s.overloaded(now, svc) {
-		step = overloadStepFraction
-	}
+	step := s.stepFraction(now, svc)
 	if shift := s.regionShift(svc.shares, desired); s.cfg.MaxShiftFraction > 0 && shift > 0 {
 		maxShift := s.cfg.MaxShiftFraction * shiftBudgetFraction *
 			TickInterval.Seconds() / ShiftWindow.Seconds()
@@ -69,6 +68,18 @@
 	}
 }
 
+// stepFraction returns how far one tick moves the shares. Where objects have places, it doesn't
+// depend on what only this host knows, so that the hosts of a region agree on them.
+func (s *Selector) stepFraction(now timer.Instant, svc *service) float64 {
+	switch {
+	case s.placed():
+		return placedStepFraction
+	case s.overloaded(now, svc):
+		return overloadStepFraction
+	}
+	return normalStepFraction
+}
+
 // overloaded reports whether a zone that gets requests has few free slots or no healthy target.
 func (s *Selector) overloaded(now timer.Instant, svc *service) bool {
 	for zone, share := range svc.shares {
@@ -96,7 +107,7 @@
 	failing, all := 0, 0
 	for _, list := range svc.zones {
 		for _, t := range list {
-			if !t.usable(now) || t.lastResponse == 0 {
+			if !t.usable(now) || !t.observed {
 				continue
 			}
 			all++
@@ -179,7 +190,10 @@
 			if !t.healthy(now) {
 				continue
 			}
-			slots := float64(t.Slots) / max(t.latencyRatio, 1)
+			slots := float64(t.Slots)
+			if !t.placed {
+				slots /= max(t.latencyRatio, 1)
+			}
 			if t.cold(now) {
 				slots *= coldCapacityFraction
 			}
--- a/selector/target.go
+++ b/selector/target.go
@@ -73,6 +73,11 @@
 	Slowdown float64
 }
 
+// free reports whether a report says that slots are free; there may be no report.
+func (l *Load) free() bool {
+	return l != nil && l.Running < l.Slots
+}
+
 // Outcome classifies the result of an attempt at a target.
 type Outcome uint8
 
@@ -100,11 +105,20 @@
 	inFlight int
 	report   Load
 	reportAt timer.Instant
+	// placed says that the service's objects have fixed places; the load is then the level.
+	placed   bool
+	level    level
+	slowdown slowdown
+	sighting sighting
+	// observed says that this host or a peer knows the outcome of a request.
+	observed bool
 	// reportInFlight is the number of this host's requests in flight when the report arrived.
 	reportInFlight int
 	// reportTTL is the age from which the report is ignored.
-	reportTTL         time.Duration
-	hold              hold
+	reportTTL time.Duration
+	hold      hold
+	// listedAt is when the target was first listed.
+	listedAt          timer.Instant
 	coldUntil         timer.Instant
 	coldSent          []timer.Instant
 	failureRate       float64
@@ -127,9 +141,27 @@
 	return &target{Target: t, hash: xxhash.Sum64String(t.ID), latencyRatio: 1}
 }
 
+// observeLevel adds a response's report to the level and returns the load without the request that
+// the response ended; -1 if there is no report.
+func (t *target) observeLevel(now timer.Instant, r Result) float64 {
+	if r.Report == nil {
+		return -1
+	}
+	load := float64(r.Report.Running + r.Report.Waiting)
+	if r.Outcome == OutcomeAnswered || r.Outcome == OutcomeFailed {
+		load = max(load-1, 0)
+	}
+	t.level.observe(now, load)
+	t.slowdown.observe(now, r.Report.Slowdown)
+	return load
+}
+
 // load estimates how many requests run or wait at the target: those of this host, and those of
 // other hosts by the newest report, which counts for less as it ages.
 func (t *target) load(now timer.Instant) float64 {
+	if t.placed {
+		return max(t.level.load(now), float64(t.inFlight))
+	}
 	others := float64(t.report.Running + t.report.Waiting - t.reportInFlight)
 	if t.reportAt == 0 || others <= 0 {
 		return float64(t.inFlight)
@@ -197,6 +229,7 @@
 // end records the result of a request.
 func (t *target) end(now timer.Instant, r Result, coldPeriod, serviceLatency time.Duration) {
 	t.inFlight--
+	t.observed = t.observed || r.Outcome != OutcomeCancelled
 	t.hold.observe(now, r)
 	t.reportTTL = min(max(serviceLatency, minReportTTL), maxReportTTL)
 	if r.Report != nil {
@@ -240,7 +273,7 @@
 func (t *target) shed(now timer.Instant, r Result) {
 	t.lastResponse = now
 	t.consecutiveLosses = 0
-	if r.Report != nil && r.Report.Running < r.Report.Slots {
+	if r.Report.free() {
 		t.failureRate += failureWeight * (1 - t.failureRate)
 		return
 	}
--- a/selector/zone.go
+++ b/selector/zone.go
@@ -6,6 +6,8 @@
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/fescuethread/fescuethread/placer"
 )
 
 // minShareSum is the sum of the usable zones' shares below which the shares are ignored.
@@ -44,8 +46,7 @@
 	if weight <= 0 {
 		return math.Inf(1)
 	}
-	hash := mix(xxhash.Sum64String(zone) ^ x.objectHash)
-	return -math.Log((float64(hash>>11)+0.5)/(1<<53)) / weight
+	return placer.Cost(placer.Mix(xxhash.Sum64String(zone)^x.objectHash), weight)
 }
 
 // nearer reports whether zone a sorts before zone b by distance from this host, then by name.
