--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -29,6 +29,16 @@
 	// of the latest heartbeat that they received; its send time is the earliest time at which the
 	// peer can have sent the echo.
 	sentAtSize = 32
+	// maxControlBytes is what heartbeats may send in a second. Views of targets fill what the rest of
+	// the heartbeats leaves of it.
+	maxControlBytes = 14_000
+	// viewBytes is the size of a view of one target, viewsOverhead that of its message.
+	viewBytes     = 10
+	viewsOverhead = 16
+	// maxViews is the maximum number of views in a heartbeat.
+	maxViews = 64
+	// datagramOverhead is the size of the IP and UDP headers.
+	datagramOverhead = 28
 	// minHeartbeatInterval is the minimum time between a heartbeat and an early one.
 	minHeartbeatInterval = 100 * time.Millisecond
 )
@@ -37,6 +47,8 @@
 type Handler interface {
 	// Heartbeat returns this host's heartbeat without host, incarnation, sequence and digests.
 	Heartbeat(now timer.Instant) *messenger.Beat
+	// Views returns what this host has seen of at most n targets; nil if there is nothing.
+	Views(n int) *messenger.Views
 	// ZoneDemand returns the demand of all hosts of this host's availability zone.
 	ZoneDemand(now timer.Instant) []*messenger.Work
 	// HandleDigest handles a digest of another availability zone that is newer than the last one.
@@ -145,13 +157,47 @@
 	b.Incarnation = a.incarnation
 	b.Sequence = sequence
 	digests := a.digests(builtAt, &t, b, sequence)
+	views := a.handler.Views(a.viewRoom(recipients, b, digests))
 	for i, to := range recipients {
 		b.Echo = echoes[i]
 		b.Digests = digests[to.link]
+		b.Views = nil
+		if a.sharesViews(to) {
+			b.Views = views
+		}
 		send(to.Member, b)
 	}
 }
 
+// sharesViews reports whether a recipient gets views of targets: those near this host, whose
+// callers' requests reach the same targets.
+func (a *Announcer) sharesViews(to recipient) bool {
+	return to.link == linkMesh && to.Region == a.self.Region
+}
+
+// viewRoom returns for how many targets the heartbeats have room.
+func (a *Announcer) viewRoom(
+	recipients []recipient, b *messenger.Beat, digests map[link][]*messenger.Digest,
+) int {
+	sizes := map[link]int{}
+	rest, viewers := 0, 0
+	for _, to := range recipients {
+		if _, ok := sizes[to.link]; !ok {
+			b.Digests = digests[to.link]
+			sizes[to.link] = proto.Size(b) + datagramOverhead
+		}
+		rest += sizes[to.link]
+		if a.sharesViews(to) {
+			viewers++
+		}
+	}
+	if viewers == 0 {
+		return 0
+	}
+	room := int(maxControlBytes*a.interval().Seconds()) - rest - viewers*viewsOverhead
+	return min(max(room/(viewers*viewBytes), 0), maxViews)
+}
+
 func (a *Announcer) sendBeat(to Member, b *messenger.Beat) {
 	if data, ok := a.encode(&messenger.Datagram{Beat: b}); ok {
 		a.send(to.PeerAddress, data)
--- a/announcer/topology_test.go
+++ b/announcer/topology_test.go
@@ -13,10 +13,8 @@
 )
 
 const (
-	// maxControlBytes is the most that control may send on a host in a second.
-	maxControlBytes = 15_000
-	// datagramOverhead is the size of the IP and UDP headers.
-	datagramOverhead = 28
+	// controlBound is the most that control may send on a host in a second.
+	controlBound = 15_000
 	// interRegionDelay and zoneDelay are the delays of the links.
 	interRegionDelay = 35 * time.Millisecond
 	zoneDelay        = time.Millisecond
@@ -41,6 +39,19 @@
 	return b
 }
 
+// Views returns as many views as there is room for, with large values.
+func (h *simHandler) Views(n int) *messenger.Views {
+	v := &messenger.Views{}
+	for i := range n {
+		v.Targets = append(v.Targets, uint32(i))
+		v.Loads = append(v.Loads, 200)
+		v.Answered = append(v.Answered, 100)
+		v.Failed = append(v.Failed, 100)
+		v.Slowdowns = append(v.Slowdowns, 250)
+	}
+	return v
+}
+
 func (h *simHandler) ZoneDemand(timer.Instant) []*messenger.Work {
 	return []*messenger.Work{{Service: "saleroom", Demand: 50_000}, {Service: "woolshed", Demand: 50_000}}
 }
@@ -203,8 +214,8 @@
 			perSecond := float64(most) / measured.Seconds()
 			t.Logf("most %.0f bytes a second, mean %.0f", perSecond,
 				float64(sum)/measured.Seconds()/float64(size.hosts))
-			if perSecond > maxControlBytes {
-				t.Fatalf("a host sends %.0f bytes a second, want at most %d", perSecond, maxControlBytes)
+			if perSecond > controlBound {
+				t.Fatalf("a host sends %.0f bytes a second, want at most %d", perSecond, controlBound)
 			}
 		})
 	}
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -9,9 +9,16 @@
 
 	"github.com/fescuethread/fescuethread/follower"
 	"github.com/fescuethread/fescuethread/limiter"
+	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
+// viewsSent and viewsReceived count the views of targets in heartbeats.
+var (
+	viewsSent     = metrics.GetOrCreateCounter("fescuethread_views_sent_total")
+	viewsReceived = metrics.GetOrCreateCounter("fescuethread_views_received_total")
+)
+
 // linesDropped counts the log lines that were dropped.
 var linesDropped = metrics.GetOrCreateCounter("fescuethread_log_lines_dropped_total")
 
@@ -39,6 +46,16 @@
 		}
 		return float64(live)
 	})
+	for _, move := range selector.Moves() {
+		metrics.GetOrCreateGauge(fmt.Sprintf("fescuethread_objects_total{move=%q}", move),
+			func() float64 { return float64(h.selector.MoveCount(move)) })
+	}
+	metrics.GetOrCreateGauge("fescuethread_objects_placed", func() float64 {
+		if h.selector.Placed() {
+			return 1
+		}
+		return 0
+	})
 	exportLimiter("requests", h.requests)
 	exportLimiter("responses", h.responses)
 	for _, subject := range follower.Subjects() {
--- a/conductor/peers.go
+++ b/conductor/peers.go
@@ -52,6 +52,13 @@
 	return encodeDemand(p.host.selector.ZoneDemand(now, p.host.self.Zone))
 }
 
+// Views returns what this host has seen of at most n targets.
+func (p peerHandler) Views(n int) *messenger.Views {
+	views := p.host.selector.TakeViews(n)
+	viewsSent.Add(len(views))
+	return encodeViews(views)
+}
+
 func encodeDemand(concurrency map[string]float64) []*messenger.Work {
 	var works []*messenger.Work
 	for name, c := range concurrency {
@@ -91,6 +98,9 @@
 	for _, l := range b.GetLeaves() {
 		h.selector.SetLeaving(selector.Leaving{ID: l.GetTarget(), StartMillis: l.GetStart()})
 	}
+	views := decodeViews(b.GetViews())
+	viewsReceived.Add(len(views))
+	h.selector.AddViews(now, views)
 	if err := h.isolator.Merge(now, b.GetHost(), b.GetSuspects()); err != nil {
 		h.log.Log(eventSuspectsInvalid)
 	}
