--- a/conductor/host.go
+++ b/conductor/host.go
@@ -186,6 +186,8 @@
 		ColdExcess:       h.settings.Bounds.ColdExcess,
 		ColdSlack:        h.settings.Bounds.ColdSlack,
 		MaxShiftFraction: h.settings.Bounds.ShiftMax,
+		Placement:        h.settings.Placement.Mode,
+		Pressure:         h.settings.Contracts.Pressure(),
 	})
 	h.sharer = sharer.New(sharer.Host{
 		Name: h.self.Name, Zone: h.self.Zone, Region: h.self.Region,
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/fescuethread/fescuethread/platform"
+	"github.com/fescuethread/fescuethread/selector"
 )
 
 // maxPort is the highest port.
@@ -19,6 +20,8 @@
 // Settings are the settings of one process; deploy/settings.toml is the platform's template of the
 // file.
 type Settings struct {
+	// Contracts names the parts of the platform's rules that are in force.
+	Contracts platform.Contracts `toml:"contracts"`
 	// Host describes the host.
 	Host HostSettings `toml:"host"`
 	// Listen holds the addresses to listen on.
@@ -29,10 +32,18 @@
 	Zones map[string]string `toml:"zones"`
 	// Bounds are the users' limits and tolerances for the deployment.
 	Bounds platform.Bounds `toml:"bounds"`
+	// Placement says where objects are served.
+	Placement PlacementSettings `toml:"placement"`
 	// Log describes the log.
 	Log LogSettings `toml:"log"`
 }
 
+// PlacementSettings say where objects are served.
+type PlacementSettings struct {
+	// Mode says for which services objects have fixed places: auto, always or never; empty is auto.
+	Mode selector.PlacementMode `toml:"mode"`
+}
+
 // HostSettings describe the host.
 type HostSettings struct {
 	// Name is unique among the hosts.
@@ -153,6 +164,7 @@
 		"a port from 1 to 65535, or 0")
 	report(s.Host.Memory >= 0, "host.memory", s.Host.Memory, "0 or more MiB")
 	report(s.Host.Files >= 0, "host.files", s.Host.Files, "0 or more")
+	report(s.Placement.Mode.Valid(), "placement.mode", s.Placement.Mode, "auto, always or never")
 	_, err = log.ParseLevel(s.Log.Level)
 	report(err == nil, "log.level", s.Log.Level, "debug, info, warn or error")
 	return list
