--- a/selector/placement_test.go
+++ b/selector/placement_test.go
@@ -279,3 +279,65 @@
 		}
 	}
 }
+
+// TestPoorRegionGivesWorkAwayEarly answers demand that is even over regions whose targets are not:
+// while other regions have room, the targets of a poor region aren't filled to the brim.
+func TestPoorRegionGivesWorkAwayEarly(t *testing.T) {
+	list := append(targetsOf(2, "a1"), targetsOf(18, "b1")...)
+	s := newPlaced("h", "a1", list)
+	// 8 slots in region a and 72 in region b, 8 requests of each region in flight.
+	for _, zone := range []string{"a1", "b1"} {
+		s.SetDemand(zone, Demand{
+			Zone: zone, UpdatedAt: start, Concurrency: map[string]float64{"sale": 8},
+		})
+	}
+	desired, measured := s.desiredShares(start, "sale", s.services["sale"])
+	if local := desired["a1"] * 8 / 8; !measured || local > placedUtilizationCap+0.01 {
+		t.Errorf("the poor region's targets are to be used to %.2f, want at most %.2f",
+			local, placedUtilizationCap)
+	}
+}
+
+// TestRoomIsUsedBeforeRefusal guards against refusals on calm days: while the region has room, a
+// request that its object's targets can't take goes to another target.
+func TestRoomIsUsedBeforeRefusal(t *testing.T) {
+	for _, test := range []struct {
+		others float64
+		want   bool
+	}{{0, true}, {4, false}} {
+		s := newPlaced("h", "a1", targetsOf(20, "a1"))
+		q := query("x")
+		first := place(s, start, "x").Target.ID
+		s.targets[first].ejectedUntil = start.Add(time.Hour)
+		second := place(s, start, "x").Target.ID
+		s.targets[first].ejectedUntil = 0
+		for id, target := range s.targets {
+			target.level = level{value: test.others, at: start}
+			if id == first || id == second {
+				target.level.value = 11
+			}
+		}
+		s.Tick(start)
+		if c := s.Choose(start, q); c.Chosen() != test.want {
+			t.Errorf("others have a load of %.0f: %s by rule %q", test.others, c.Reason, c.Rule)
+		}
+	}
+}
+
+// TestFarResponsesDontLengthenTheQueue guards against waits that are estimated from the way to
+// another region or from a wait itself: both make a short queue look too long.
+func TestFarResponsesDontLengthenTheQueue(t *testing.T) {
+	s := newPlaced("h", "a1", targetsOf(1, "a1", "b1"))
+	svc := s.services["sale"]
+	end := func(id string, queued bool, latency time.Duration) {
+		c := Choice{Reason: ReasonChosen, target: s.targets[id], queued: queued}
+		c.target.inFlight++
+		s.End(start, &c, query("x"), Result{Outcome: OutcomeAnswered, Latency: latency})
+	}
+	end("a1-0", false, 100*time.Millisecond)
+	end("b1-0", false, 300*time.Millisecond)
+	end("a1-0", true, 900*time.Millisecond)
+	if svc.meter.latency != 100*time.Millisecond {
+		t.Errorf("a slot is taken for %s, want 100ms", svc.meter.latency)
+	}
+}
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -245,6 +245,7 @@
 		s.markPlaced(svc)
 		svc.meter.tick(now)
 		svc.detectCommonFailure(now)
+		svc.measureUsage(now)
 		s.updateShares(now, name, svc)
 	}
 }
@@ -288,10 +289,28 @@
 	if placed {
 		s.recordView(c.target, r, c.target.observeLevel(now, r))
 	}
-	// Where objects have places, the time without waiting says how long a slot is taken.
-	if r.Outcome == OutcomeAnswered && (!placed || !c.queued || svc.meter.latency == 0) {
+	if r.Outcome != OutcomeAnswered {
+		return
+	}
+	if !placed {
 		svc.route(q.Route).observe(r.Latency)
 		svc.meter.observe(r.Latency)
+		return
+	}
+	s.observeUnqueued(svc, c, q, r.Latency)
+}
+
+// observeUnqueued adds a response to the averages where objects have places. A request that waited
+// says nothing of how long a slot is taken, nor does one that came from another region: the way
+// there takes longer than the work.
+func (s *Selector) observeUnqueued(svc *service, c *Choice, q Query, latency time.Duration) {
+	route := svc.route(q.Route)
+	if !c.queued || route.latency == 0 {
+		route.observe(latency)
+	}
+	near := s.cfg.Regions[c.target.Zone] == s.cfg.Regions[s.cfg.Zone]
+	if !c.queued && near || svc.meter.latency == 0 {
+		svc.meter.observe(latency)
 	}
 }
 
--- a/selector/shares.go
+++ b/selector/shares.go
@@ -36,6 +36,9 @@
 	// minUtilizationCap is the utilization up to which a region always serves its own requests before
 	// they go to other regions.
 	minUtilizationCap = 0.7
+	// placedUtilizationCap is that utilization where objects have places: objects are few for each
+	// target, so that some targets are full long before all are.
+	placedUtilizationCap = 0.45
 	// utilizationMargin limits a region's utilization, as a multiple of the average of all regions.
 	utilizationMargin = 1.1
 	// coldCapacityFraction is the fraction of a cold target's slots that counts as capacity.
@@ -155,7 +158,7 @@
 	}
 	demand, totalDemand, measured := s.demand(now, name, totalCapacity)
 	a := newAllocation(s.sumByRegion(demand), capacity,
-		max(minUtilizationCap, utilizationMargin*totalDemand/totalCapacity))
+		max(s.utilizationCap(), utilizationMargin*totalDemand/totalCapacity))
 	a.assignLocal()
 	a.assignRemaining()
 	regionShares := a.shares(s.cfg.Regions[s.cfg.Zone])
@@ -167,6 +170,14 @@
 	return shares, measured
 }
 
+// utilizationCap returns the utilization up to which a region serves its own requests.
+func (s *Selector) utilizationCap() float64 {
+	if s.placed() {
+		return placedUtilizationCap
+	}
+	return minUtilizationCap
+}
+
 // sumByRegion adds up the amounts of the zones of each region.
 func (s *Selector) sumByRegion(zones map[string]float64) map[string]float64 {
 	regions := map[string]float64{}
