--- a/announcer/roster.go
+++ b/announcer/roster.go
@@ -21,6 +21,8 @@
 	CallerAddress string
 	// PeerAddress is the IP address and port on which it serves other hosts, over UDP and TCP.
 	PeerAddress string
+	// Capacity is the number of requests per second that it can carry; 0 means unknown.
+	Capacity uint32
 }
 
 // Peer is another member with its latest heartbeat.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http/httptest"
@@ -18,6 +19,8 @@
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/logger"
 	"github.com/fescuethread/fescuethread/messenger"
+	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/spreader"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -245,3 +248,35 @@
 	t.Fatalf("no port is free for both UDP and TCP after %d attempts: %v", maxAttempts, tcpErr)
 	return ""
 }
+
+// TestCallerKeepsItsHosts guards against callers that drop their connections at each look-up: a
+// caller gets the same few hosts from every host, and only where the settings spread callers.
+func TestCallerKeepsItsHosts(t *testing.T) {
+	members := []announcer.Member{}
+	for i := range 10 {
+		members = append(members, announcer.Member{
+			Name: fmt.Sprint("h", i), Zone: "a1", Region: "a", CallerAddress: fmt.Sprint("10.0.0.", i, ":1"),
+			Capacity: 100,
+		})
+	}
+	shuffled := append(append([]announcer.Member(nil), members[5:]...), members[:5]...)
+	one, other := spread("10.9.9.9", "a1", members), spread("10.9.9.9", "a1", shuffled)
+	if len(one) != spreader.HostsPerCaller || len(other) != len(one) {
+		t.Fatalf("%d and %d hosts", len(one), len(other))
+	}
+	for i := range one {
+		if one[i].Name != other[i].Name {
+			t.Errorf("host %d is %s, and %s in another order of the list", i, one[i].Name, other[i].Name)
+		}
+	}
+	h := newHost(t)
+	for mode, want := range map[selector.PlacementMode]bool{
+		"": false, selector.PlacementAuto: false, selector.PlacementNever: false,
+		selector.PlacementAlways: true,
+	} {
+		h.settings.Directory.Spread = mode
+		if h.spreadsCallers() != want {
+			t.Errorf("mode %q: spread is %v", mode, !want)
+		}
+	}
+}
--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"net"
 	"net/http"
 	"sort"
 	"strconv"
@@ -8,6 +9,8 @@
 
 	"github.com/fescuethread/fescuethread/announcer"
 	"github.com/fescuethread/fescuethread/platform"
+	"github.com/fescuethread/fescuethread/selector"
+	"github.com/fescuethread/fescuethread/spreader"
 	"github.com/fescuethread/fescuethread/timer"
 )
 
@@ -42,11 +45,14 @@
 
 func (d directory) serveLookup(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	addresses := d.host.addresses(q.Get(platform.QueryZone), q.Get(platform.QueryRegion))
+	addresses := d.host.addresses(
+		q.Get(platform.QueryZone), q.Get(platform.QueryRegion), callerOf(r.RemoteAddr))
 	if len(addresses) == 0 {
+		lookupsFailed.Inc()
 		writeBody(w, http.StatusServiceUnavailable, "text/plain; charset=utf-8", nil)
 		return
 	}
+	lookupsAnswered.Inc()
 	ttl := directoryTTL
 	if maxTTL := d.host.bounds.Load().MaxDirectoryTTL(); maxTTL > 0 {
 		ttl = min(ttl, maxTTL)
@@ -66,9 +72,19 @@
 	_, _ = w.Write(body)
 }
 
+// callerOf returns the IP address of a caller.
+func callerOf(remote string) string {
+	address, _, err := net.SplitHostPort(remote)
+	if err != nil {
+		return remote
+	}
+	return address
+}
+
 // addresses returns the addresses of the ready hosts in the region, or of all ready hosts if the
-// region has none. Hosts in the zone come first. An empty region means the zone's region.
-func (h *Host) addresses(zone, region string) []string {
+// region has none. Hosts in the zone come first. An empty region means the zone's region. Where
+// callers are spread by the hosts' capacity, it returns the few hosts that the caller uses.
+func (h *Host) addresses(zone, region, caller string) []string {
 	if region == "" {
 		region = h.settings.Zones[zone]
 	}
@@ -98,9 +114,40 @@
 		}
 		return near[i].Name < near[j].Name
 	})
+	if h.spreadsCallers() {
+		near = spread(caller, zone, near)
+	}
 	addresses := make([]string, 0, len(near))
 	for _, m := range near[:min(len(near), maxAddresses)] {
 		addresses = append(addresses, m.CallerAddress)
 	}
 	return addresses
 }
+
+// spreadsCallers reports whether callers are spread over the hosts by their capacity.
+func (h *Host) spreadsCallers() bool {
+	switch h.settings.Directory.Spread {
+	case selector.PlacementAlways:
+		return true
+	case selector.PlacementNever:
+		return false
+	}
+	return h.selector.Placed()
+}
+
+// spread returns the members that a caller uses.
+func spread(caller, zone string, members []announcer.Member) []announcer.Member {
+	hosts := make([]spreader.Host, len(members))
+	for i, m := range members {
+		hosts[i] = spreader.Host{Name: m.Name, Zone: m.Zone, Capacity: m.Capacity}
+	}
+	chosen := spreader.Choose(caller, zone, hosts)
+	if chosen == nil {
+		return members
+	}
+	list := make([]announcer.Member, 0, len(chosen))
+	for _, i := range chosen {
+		list = append(list, members[i])
+	}
+	return list
+}
--- a/conductor/host.go
+++ b/conductor/host.go
@@ -22,6 +22,7 @@
 	"github.com/fescuethread/fescuethread/selector"
 	"github.com/fescuethread/fescuethread/server"
 	"github.com/fescuethread/fescuethread/sharer"
+	"github.com/fescuethread/fescuethread/spreader"
 	"github.com/fescuethread/fescuethread/steerer"
 	"github.com/fescuethread/fescuethread/timer"
 )
@@ -126,6 +127,7 @@
 			Region:        s.Zones[s.Host.Zone],
 			CallerAddress: s.Listen.Callers,
 			PeerAddress:   net.JoinHostPort(s.Host.Address, strconv.Itoa(s.Listen.Peer)),
+			Capacity:      spreader.Capacity(s.Host.Processor, s.Host.Link),
 		},
 	}
 	if s.Host.Memory > 0 {
--- a/conductor/metrics.go
+++ b/conductor/metrics.go
@@ -19,6 +19,12 @@
 	viewsReceived = metrics.GetOrCreateCounter("fescuethread_views_received_total")
 )
 
+// lookupsAnswered and lookupsFailed count the directory's responses.
+var (
+	lookupsAnswered = metrics.GetOrCreateCounter(`fescuethread_lookups_total{result="answered"}`)
+	lookupsFailed   = metrics.GetOrCreateCounter(`fescuethread_lookups_total{result="failed"}`)
+)
+
 // linesDropped counts the log lines that were dropped.
 var linesDropped = metrics.GetOrCreateCounter("fescuethread_log_lines_dropped_total")
 
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -34,6 +34,8 @@
 	Bounds platform.Bounds `toml:"bounds"`
 	// Placement says where objects are served.
 	Placement PlacementSettings `toml:"placement"`
+	// Directory says which hosts callers are directed to.
+	Directory DirectorySettings `toml:"directory"`
 	// Log describes the log.
 	Log LogSettings `toml:"log"`
 }
@@ -54,6 +56,10 @@
 	Zone string `toml:"zone"`
 	// Memory is the most memory that the process may use, in MiB; 0 means no limit.
 	Memory int64 `toml:"memory"`
+	// Processor is the part of a processor that the process may use; 0 means unknown.
+	Processor float64 `toml:"processor"`
+	// Link is the bandwidth of the host's link in Mbit/s; 0 means unknown.
+	Link float64 `toml:"link"`
 	// Files is the most file descriptors that the process may use. The limit on callers' connections
 	// is derived from it and has a fixed minimum, which also applies if Files is 0.
 	Files int `toml:"files"`
@@ -86,6 +92,13 @@
 	Level string `toml:"level"`
 }
 
+// DirectorySettings say which hosts callers are directed to.
+type DirectorySettings struct {
+	// Spread says whether callers are spread over the hosts by their capacity: auto, always or never;
+	// auto, and empty, is where objects have fixed places.
+	Spread selector.PlacementMode `toml:"spread"`
+}
+
 // LoadSettings reads and validates a settings file and ignores unknown keys; errors are of
 // KindSettings.
 func LoadSettings(path string) (Settings, error) {
@@ -163,8 +176,12 @@
 	report(s.Listen.Metrics >= 0 && s.Listen.Metrics <= maxPort, "listen.metrics", s.Listen.Metrics,
 		"a port from 1 to 65535, or 0")
 	report(s.Host.Memory >= 0, "host.memory", s.Host.Memory, "0 or more MiB")
+	report(s.Host.Processor >= 0, "host.processor", s.Host.Processor, "0 or more")
+	report(s.Host.Link >= 0, "host.link", s.Host.Link, "0 or more Mbit/s")
 	report(s.Host.Files >= 0, "host.files", s.Host.Files, "0 or more")
 	report(s.Placement.Mode.Valid(), "placement.mode", s.Placement.Mode, "auto, always or never")
+	report(s.Directory.Spread.Valid(), "directory.spread", s.Directory.Spread,
+		"auto, always or never")
 	_, err = log.ParseLevel(s.Log.Level)
 	report(err == nil, "log.level", s.Log.Level, "debug, info, warn or error")
 	return list
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand"
 	"slices"
 	"sort"
@@ -231,7 +232,7 @@
 	f.sink.UseHosts(readAt, members)
 	parts := make([]string, 0, len(members))
 	for _, m := range members {
-		parts = append(parts, m.Name+m.CallerAddress+m.PeerAddress)
+		parts = append(parts, fmt.Sprint(m.Name, m.CallerAddress, m.PeerAddress, m.Capacity))
 	}
 	sort.Strings(parts)
 	return hashOf(parts...)
--- a/relayer/decode.go
+++ b/relayer/decode.go
@@ -35,6 +35,7 @@
 		c.Members = append(c.Members, announcer.Member{
 			Name: h.GetName(), Zone: h.GetZone(), Region: h.GetRegion(),
 			CallerAddress: h.GetCallers(), PeerAddress: h.GetPeer(),
+			Capacity: h.GetCapacity(),
 		})
 	}
 	if subject != follower.SubjectPlan {
--- a/relayer/encode.go
+++ b/relayer/encode.go
@@ -21,6 +21,7 @@
 	for _, h := range c.Members {
 		m.Members = append(m.Members, &messenger.MemberContent{
 			Name: h.Name, Zone: h.Zone, Region: h.Region, Callers: h.CallerAddress, Peer: h.PeerAddress,
+			Capacity: h.Capacity,
 		})
 	}
 	return m
