--- a/selector/placement.go
+++ b/selector/placement.go
@@ -201,7 +201,7 @@
 	}
 	first, second := x.places(r)
 	if first == nil {
-		return Choice{}, false
+		return x.refuseOverloaded(nil), true
 	}
 	if second != nil && x.relieves(second, first) {
 		return x.chosen(second, RuleRelief), true
--- a/selector/placement_test.go
+++ b/selector/placement_test.go
@@ -304,6 +304,31 @@
 	}
 }
 
+// TestColdRegionKeepsItsRequests guards against a shift of requests to another region because all
+// targets of their own are at their cold limit.
+func TestColdRegionKeepsItsRequests(t *testing.T) {
+	s := newPlaced("h", "a1", targetsOf(2, "a1", "b1"))
+	for _, target := range s.targets {
+		if target.Zone == "a1" {
+			target.coldUntil = start.Add(time.Minute)
+		}
+	}
+	s.services["sale"].shares = map[string]float64{"a1": 1}
+	refused := 0
+	for i := range 200 {
+		c := place(s, start, fmt.Sprint(i))
+		if c.Chosen() && c.Target.Zone != "a1" {
+			t.Fatalf("request %d went to %s", i, c.Target.Zone)
+		}
+		if !c.Chosen() {
+			refused++
+		}
+	}
+	if refused == 0 {
+		t.Error("cold targets took 200 requests at once")
+	}
+}
+
 // TestRoomIsUsedBeforeRefusal guards against refusals on calm days: while the region has room, a
 // request that its object's targets can't take goes to another target.
 func TestRoomIsUsedBeforeRefusal(t *testing.T) {
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -16,6 +16,8 @@
 	// messages: the smaller of the two capacities binds.
 	requestProcessor = 0.0015
 	requestMegabits  = 0.08
+	// maxCapacity is the largest capacity in requests per second.
+	maxCapacity = 1 << 20
 )
 
 // Host is a host that serves callers.
@@ -31,7 +33,7 @@
 // Capacity returns the requests per second that a host can carry with a part of a processor and a
 // link in Mbit/s; 0 if either is unknown.
 func Capacity(processor, link float64) uint32 {
-	return uint32(min(processor/requestProcessor, link/requestMegabits))
+	return uint32(min(processor/requestProcessor, link/requestMegabits, maxCapacity))
 }
 
 // Choose returns the positions in hosts of those that a caller in a zone uses, best first; nil
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -96,6 +96,9 @@
 	if slow, fast := Capacity(0.8, 10), Capacity(0.8, 200); slow >= fast/2 {
 		t.Errorf("a link of 10 Mbit/s gives a capacity of %d, one of 200 gives %d", slow, fast)
 	}
+	if c := Capacity(1e30, 1e30); c != maxCapacity {
+		t.Errorf("a huge host has a capacity of %d", c)
+	}
 	if c := Capacity(0, 200); c != 0 {
 		t.Errorf("without a known processor the capacity is %d", c)
 	}
