--- a/soaker/fleet_test.go
+++ b/soaker/fleet_test.go
@@ -106,12 +106,14 @@
 
 // fleet is the system under test: hosts, with stand-ins of the store and of targets.
 type fleet struct {
-	t       *testing.T
-	dir     string
-	ledger  *ledger
-	store   *platformer.Store
-	hosts   []*host
-	version int
+	t *testing.T
+	// pressure says that callers press for more than there is room.
+	pressure bool
+	dir      string
+	ledger   *ledger
+	store    *platformer.Store
+	hosts    []*host
+	version  int
 
 	mu          sync.Mutex
 	targets     []*target
@@ -152,10 +154,12 @@
 	return found
 }
 
-func newFleet(t *testing.T, hosts int) *fleet {
+// newFleet starts hosts, with a store and targets; under pressure, the parts for hard load are on:
+// objects have fixed places, and callers are spread over hosts of uneven size.
+func newFleet(t *testing.T, hosts int, pressure bool) *fleet {
 	t.Helper()
 	f := &fleet{
-		t: t, dir: t.TempDir(), ledger: newLedger(), store: platformer.NewStore(), logs: &logBuffer{},
+		t: t, pressure: pressure, dir: t.TempDir(), ledger: newLedger(), store: platformer.NewStore(), logs: &logBuffer{},
 		keys: map[string][]string{
 			"mill":          {"mill-key-1", "mill-key-2", "mill-key-3"},
 			limitedCustomer: {"small-key-1"},
@@ -237,7 +241,11 @@
 	h.peerRelay = newPeerRelay(f.t, hostAddress(ip, 3))
 	server.Edit = h.advertiseRelay
 	var b strings.Builder
+	if f.pressure {
+		b.WriteString("contracts = [\"base\", \"pressure\"]\n")
+	}
 	fmt.Fprintf(&b, "[host]\nname = %q\naddress = %q\nzone = %q\n", name, ip, zone)
+	fmt.Fprintf(&b, "processor = %g\nlink = %g\n", 0.2*float64(1+len(f.hosts)%4), 50.0)
 	fmt.Fprintf(&b, "[listen]\ncallers = %q\nready = %q\ndirectory = %q\npeer = %d\n",
 		h.callersAddr, ready, h.directoryAddr, peer)
 	fmt.Fprintf(&b, "[store]\naddress = %q\n[zones]\n", h.storeRelay.address)
--- a/soaker/scenario_test.go
+++ b/soaker/scenario_test.go
@@ -68,7 +68,7 @@
 
 func TestStopsOfHostsFailNoRequests(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	f.play(scenarioSeed, []step{
 		hostStep(0, time.Second, 0, "restart the first host gracefully", true, restartGracefully),
 		hostStep(1, 5*time.Second, 0, "restart the second host gracefully", true, restartGracefully),
@@ -85,7 +85,7 @@
 // other hosts learn of them, also after a pause or a kill.
 func TestWithdrawnKeyRefusedByIsolatedHost(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	const duration = 11 * time.Second
 	f.play(scenarioSeed, []step{
 		hostStep(0, time.Second, duration, "drop traffic between the first host and the store", false,
@@ -102,7 +102,7 @@
 // from its peers and continues to serve.
 func TestWithdrawnKeyLearnedFromPeers(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	const duration = 11 * time.Second
 	f.play(scenarioSeed, []step{
 		hostStep(0, time.Second, duration, "drop traffic between the first host and the store", false,
@@ -117,7 +117,7 @@
 
 func TestRequestsRunOnceDespiteKills(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	f.play(scenarioSeed, []step{
 		hostStep(0, time.Second, 0, "kill the first host", false, kill),
 		hostStep(1, 1500*time.Millisecond, 2*time.Second, "pause the second host", false, pause),
@@ -132,7 +132,7 @@
 // target in an evacuated zone after evacuationTimeout.
 func TestLeavingTargetsGetNoRequests(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	f.play(scenarioSeed, []step{
 		plannedStep(time.Second, "drain a target", (*fleet).drainTarget),
 		plannedStep(1200*time.Millisecond, "drain another target", (*fleet).drainTarget),
@@ -147,7 +147,7 @@
 // drops some responses or sheds some requests, so that many requests could be retried.
 func TestRepeatsStayWithinBudget(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, 4)
+	f := newFleet(t, 4, false)
 	const duration = 8 * time.Second
 	misbehave := func(m targeter.Mode, first int) step {
 		return step{start: time.Second, duration: duration, action: action{
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -77,7 +77,8 @@
 func soak(t *testing.T, seed int64, from []action) {
 	rng := rand.New(rand.NewSource(seed))
 	callersSeed := rng.Int63()
-	f := newFleet(t, *soakHosts)
+	// Every other seed runs the parts for hard load.
+	f := newFleet(t, *soakHosts, seed%2 != 0)
 	f.play(callersSeed, newSteps(rng, from, *soakLength, *soakSteps))
 }
 
