--- a/selector/placement.go
+++ b/selector/placement.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/fescuethread/fescuethread/placer"
-	"github.com/fescuethread/fescuethread/timer"
 )
 
 const (
@@ -23,9 +22,6 @@
 	// reliefMargin is how much lower the utilization of the second target must be. Without a margin,
 	// two full targets would both serve the objects of both.
 	reliefMargin = 0.5
-	// maxSpillUsage is the load per slot of a region up to which a request that its object's targets
-	// can't take goes to another one.
-	maxSpillUsage = 0.6
 )
 
 // PlacementMode says whether objects have fixed places.
@@ -55,8 +51,6 @@
 	table *placer.Table
 	// targets are in the order of the table's nodes.
 	targets []*target
-	// usage is the load per slot of the healthy targets together.
-	usage float64
 }
 
 // Placed reports whether objects have fixed places.
@@ -181,9 +175,9 @@
 	return nil
 }
 
-// searchPlaces chooses one of the object's targets in a region or refuses the request. Another
-// target serves the object only while the region has room: it takes several times as long, and
-// drops an object of its own. It reports false if the region has no target for the request.
+// searchPlaces chooses one of the object's targets in a region or refuses the request. Other
+// targets never serve the object: they would take several times as long for it, and drop objects
+// of their own. It reports false if the region has no target for the request.
 func (x *search) searchPlaces(name string) (Choice, bool) {
 	r := x.svc.regions[name]
 	if r == nil {
@@ -209,28 +203,9 @@
 	if c, ok := x.byObject(first, second); ok {
 		return c, true
 	}
-	if r.usage < maxSpillUsage {
-		if t := x.leastLoaded(zones); t != nil && x.available(t) {
-			return x.chosen(t, RuleLeastLoaded), true
-		}
-	}
 	return x.refuseOverloaded(first), true
 }
 
-// measureUsage updates the usage of the regions.
-func (svc *service) measureUsage(now timer.Instant) {
-	for _, r := range svc.regions {
-		load, slots := 0.0, 0.0
-		for _, t := range r.targets {
-			if t.healthy(now) {
-				load += t.load(now)
-				slots += float64(t.Slots)
-			}
-		}
-		r.usage = load / max(slots, 1)
-	}
-}
-
 // probePlace returns the object's own target if that is failing and due for a probe; for other
 // objects a probe would be a cache miss. Retries are never used as probes.
 func (x *search) probePlace(r *region) *target {
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -245,7 +245,6 @@
 		s.markPlaced(svc)
 		svc.meter.tick(now)
 		svc.detectCommonFailure(now)
-		svc.measureUsage(now)
 		s.updateShares(now, name, svc)
 	}
 }
