--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -270,9 +270,9 @@
 		}
 	}
 	h := newHost(t)
-	for mode, want := range map[selector.PlacementMode]bool{
-		"": false, selector.PlacementAuto: false, selector.PlacementNever: false,
-		selector.PlacementAlways: true,
+	for mode, want := range map[selector.Mode]bool{
+		"": false, selector.ModeAuto: false, selector.ModeNever: false,
+		selector.ModeAlways: true,
 	} {
 		h.settings.Directory.Spread = mode
 		if h.spreadsCallers() != want {
--- a/conductor/directory.go
+++ b/conductor/directory.go
@@ -127,9 +127,9 @@
 // spreadsCallers reports whether callers are spread over the hosts by their capacity.
 func (h *Host) spreadsCallers() bool {
 	switch h.settings.Directory.Spread {
-	case selector.PlacementAlways:
+	case selector.ModeAlways:
 		return true
-	case selector.PlacementNever:
+	case selector.ModeNever:
 		return false
 	}
 	return h.selector.Placed()
--- a/conductor/settings.go
+++ b/conductor/settings.go
@@ -42,8 +42,8 @@
 
 // PlacementSettings say where objects are served.
 type PlacementSettings struct {
-	// Mode says for which services objects have fixed places: auto, always or never; empty is auto.
-	Mode selector.PlacementMode `toml:"mode"`
+	// Mode says whether objects have fixed places: auto, always or never; empty is auto.
+	Mode selector.Mode `toml:"mode"`
 }
 
 // HostSettings describe the host.
@@ -96,7 +96,7 @@
 type DirectorySettings struct {
 	// Spread says whether callers are spread over the hosts by their capacity: auto, always or never;
 	// auto, and empty, is where objects have fixed places.
-	Spread selector.PlacementMode `toml:"spread"`
+	Spread selector.Mode `toml:"spread"`
 }
 
 // LoadSettings reads and validates a settings file and ignores unknown keys; errors are of
--- a/selector/demand.go
+++ b/selector/demand.go
@@ -15,6 +15,17 @@
 	defaultLatency = 300 * time.Millisecond
 )
 
+// Demand is the demand of a host's callers.
+type Demand struct {
+	// Zone is the host's availability zone.
+	Zone string
+	// UpdatedAt is the instant at which the demand was measured, or received from the host.
+	UpdatedAt timer.Instant
+	// Concurrency is the number of requests, by service, that would be in flight if none were
+	// refused.
+	Concurrency map[string]float64
+}
+
 // demandMeter measures the request rate and the latency of a service.
 type demandMeter struct {
 	arrivals float64
@@ -71,3 +82,48 @@
 	}
 	return old + time.Duration(latencyWeight*float64(sample-old))
 }
+
+// SetDemand sets the demand of the callers of a host, or of all hosts of another availability
+// zone.
+func (s *Selector) SetDemand(host string, d Demand) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demands[host] = d
+}
+
+// Demand returns the demand of this host's callers.
+func (s *Selector) Demand(now timer.Instant) Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := Demand{Zone: s.cfg.Zone, UpdatedAt: now, Concurrency: map[string]float64{}}
+	for name, svc := range s.services {
+		d.Concurrency[name] = svc.meter.demand()
+	}
+	return d
+}
+
+// ZoneDemand returns the sum of the recent demand of the hosts of an availability zone, by
+// service.
+func (s *Selector) ZoneDemand(now timer.Instant, zone string) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sum := map[string]float64{}
+	for _, d := range s.demands {
+		if d.Zone != zone || now.Sub(d.UpdatedAt) > demandTTL {
+			continue
+		}
+		for name, concurrency := range d.Concurrency {
+			sum[name] += concurrency
+		}
+	}
+	return sum
+}
+
+// pruneDemands forgets the demand of hosts that are gone.
+func (s *Selector) pruneDemands(now timer.Instant) {
+	for host, d := range s.demands {
+		if now.Sub(d.UpdatedAt) > demandTTL {
+			delete(s.demands, host)
+		}
+	}
+}
--- a/selector/moves_test.go
+++ b/selector/moves_test.go
@@ -125,7 +125,7 @@
 // BenchmarkChoose is the choice of a target among 893 of a service in three regions.
 func BenchmarkChoose(b *testing.B) {
 	regions := map[string]string{"a1": "a", "b1": "b", "c1": "c"}
-	s := New(Config{Host: "h", Zone: "a1", Regions: regions, Placement: PlacementAlways})
+	s := New(Config{Host: "h", Zone: "a1", Regions: regions, Placement: ModeAlways})
 	s.SetTargets(start, append(targetsOf(297, "a1", "b1"), targetsOf(299, "c1")...))
 	s.Tick(start)
 	b.ReportAllocs()
--- a/selector/placement.go
+++ b/selector/placement.go
@@ -24,28 +24,6 @@
 	reliefMargin = 0.5
 )
 
-// PlacementMode says whether objects have fixed places.
-type PlacementMode string
-
-const (
-	// PlacementAuto places objects if callers press for more than there is room, or if targets report
-	// how much others on their machines slow them down.
-	PlacementAuto PlacementMode = "auto"
-	// PlacementAlways places objects.
-	PlacementAlways PlacementMode = "always"
-	// PlacementNever lets the shares of the zones decide.
-	PlacementNever PlacementMode = "never"
-)
-
-// Valid reports whether the mode is one of the above; an empty one stands for PlacementAuto.
-func (m PlacementMode) Valid() bool {
-	switch m {
-	case "", PlacementAuto, PlacementAlways, PlacementNever:
-		return true
-	}
-	return false
-}
-
 // region holds the targets of a service in a region on which objects are placed.
 type region struct {
 	table *placer.Table
@@ -63,9 +41,9 @@
 // placed reports whether objects have fixed places.
 func (s *Selector) placed() bool {
 	switch s.cfg.Placement {
-	case PlacementAlways:
+	case ModeAlways:
 		return true
-	case PlacementNever:
+	case ModeNever:
 		return false
 	}
 	return s.cfg.Pressure || s.sharedMachines
--- a/selector/placement_test.go
+++ b/selector/placement_test.go
@@ -16,7 +16,7 @@
 func newPlaced(host, zone string, targets []Target) *Selector {
 	s := New(Config{
 		Host: host, Zone: zone, Regions: regions,
-		ColdExcess: 1.5, ColdSlack: 5, MaxShiftFraction: 0.15, Placement: PlacementAlways,
+		ColdExcess: 1.5, ColdSlack: 5, MaxShiftFraction: 0.15, Placement: ModeAlways,
 	})
 	s.SetServices([]planner.Service{{Name: "sale", ColdPeriod: 3 * time.Second, ColdRate: 7.9}})
 	s.SetTargets(start, targets)
@@ -37,17 +37,17 @@
 // their settings nor their targets ask for it.
 func TestPlacementNeedsItsSwitch(t *testing.T) {
 	for name, test := range map[string]struct {
-		mode     PlacementMode
+		mode     Mode
 		pressure bool
 		slowdown float64
 		want     bool
 	}{
-		"nothing asks for it":  {PlacementAuto, false, 0, false},
+		"nothing asks for it":  {ModeAuto, false, 0, false},
 		"empty mode":           {"", false, 0, false},
-		"pressure":             {PlacementAuto, true, 0, true},
-		"shared machines":      {PlacementAuto, false, 1, true},
-		"always":               {PlacementAlways, false, 0, true},
-		"never, with pressure": {PlacementNever, true, 2, false},
+		"pressure":             {ModeAuto, true, 0, true},
+		"shared machines":      {ModeAuto, false, 1, true},
+		"always":               {ModeAlways, false, 0, true},
+		"never, with pressure": {ModeNever, true, 2, false},
 	} {
 		s := New(Config{Zone: "a1", Regions: regions, Placement: test.mode, Pressure: test.pressure})
 		s.SetTargets(start, targetsOf(1, "a1"))
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -25,8 +25,8 @@
 	// within ShiftWindow; 0 means no limit.
 	MaxShiftFraction float64
 	// Placement says whether objects have fixed places.
-	Placement PlacementMode
-	// Pressure says that callers press for more than there is room; see PlacementAuto.
+	Placement Mode
+	// Pressure says that callers press for more than there is room, for ModeAuto.
 	Pressure bool
 }
 
@@ -134,17 +134,6 @@
 	populated bool
 }
 
-// Demand is the demand of a host's callers.
-type Demand struct {
-	// Zone is the host's availability zone.
-	Zone string
-	// UpdatedAt is the instant at which the demand was measured, or received from the host.
-	UpdatedAt timer.Instant
-	// Concurrency is the number of requests, by service, that would be in flight if none were
-	// refused.
-	Concurrency map[string]float64
-}
-
 // service holds the targets of a service by availability zone, and the zones' shares of its
 // requests.
 type service struct {
@@ -190,51 +179,6 @@
 	s.hosts = names
 }
 
-// SetDemand sets the demand of the callers of a host, or of all hosts of another availability
-// zone.
-func (s *Selector) SetDemand(host string, d Demand) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.demands[host] = d
-}
-
-// Demand returns the demand of this host's callers.
-func (s *Selector) Demand(now timer.Instant) Demand {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d := Demand{Zone: s.cfg.Zone, UpdatedAt: now, Concurrency: map[string]float64{}}
-	for name, svc := range s.services {
-		d.Concurrency[name] = svc.meter.demand()
-	}
-	return d
-}
-
-// ZoneDemand returns the sum of the recent demand of the hosts of an availability zone, by
-// service.
-func (s *Selector) ZoneDemand(now timer.Instant, zone string) map[string]float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	sum := map[string]float64{}
-	for _, d := range s.demands {
-		if d.Zone != zone || now.Sub(d.UpdatedAt) > demandTTL {
-			continue
-		}
-		for name, concurrency := range d.Concurrency {
-			sum[name] += concurrency
-		}
-	}
-	return sum
-}
-
-// pruneDemands forgets the demand of hosts that are gone.
-func (s *Selector) pruneDemands(now timer.Instant) {
-	for host, d := range s.demands {
-		if now.Sub(d.UpdatedAt) > demandTTL {
-			delete(s.demands, host)
-		}
-	}
-}
-
 // Tick updates the averages and the zones' shares; it is called periodically, see TickInterval.
 func (s *Selector) Tick(now timer.Instant) {
 	s.mu.Lock()
