review: case 7, uploads broken off for an upstream that reads late

A host gets SIGTERM while upstreams work on uploads of which they have read the first bytes. The control, in which the upstreams read at once, held.

--- a/review/stand-2/process.go
+++ b/review/stand-2/process.go
@@ -145,6 +145,16 @@
 	p.mu.Unlock()
 }
 
+// terminate sends SIGTERM; the process isn't started again.
+func (p *process) terminate() {
+	p.mu.Lock()
+	p.killed = true
+	if p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	p.mu.Unlock()
+}
+
 func (p *process) stop() {
 	p.mu.Lock()
 	p.stopped = true
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -1,8 +1,8 @@
 package main
 
 import (
-	"context"
 	"bytes"
+	"context"
 	"encoding/json"
 	"flag"
 	"fmt"
