review: case 8, a route that is refused for good after a burst

One host, two upstreams for each service that slow down while they are nearly full, and one burst at the largest dose of the site file.

The stand-ins' wire names move to wire.json, since no Go file outside the adapter may name them; the stand-in of the dropped case goes.

--- a/review/stand-2/callers.go
+++ b/review/stand-2/callers.go
@@ -198,8 +198,8 @@
 		id := fmt.Sprintf("%s-%d-%d", c.zone, c.n, i)
 		atomic.AddInt64(&c.c.Sent, 1)
 		resp, _, err := c.conn.exchange(fmt.Sprintf(
-			"GET %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline: 3000\r\n\r\n",
-			c.path, id, c.host, id), 3*time.Second)
+			"GET %s%s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: 3000\r\n\r\n",
+			c.path, id, c.host, id, wire.Headers.Deadline), 3*time.Second)
 		switch {
 		case err != nil:
 			atomic.AddInt64(&c.c.Cut, 1)
--- a/review/stand-2/crowd.go
+++ b/review/stand-2/crowd.go
@@ -28,14 +28,6 @@
 	fatalMachines = 2
 )
 
-const crowdConfig = `{
-  "version": "r1",
-  "routes": {"catalogue": {"host": "saleroom.example", "path_prefix": "/catalogue/", "kind": "idempotent",
-    "service": "saleroom", "timeout_ms": 2000, "objective_ms": 500, "priority": 1, "attempts": 2, "sticky": false}},
-  "services": {"saleroom": {"health_path": "/health", "conn_limit": 390, "cold_s": 3, "cold_per_s": 79}},
-  "limits": {"header_bytes": 16384, "body_bytes": 1048576, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-}`
-
 // runCrowd runs case 6: three hosts with many callers, of which one is killed for good.
 func runCrowd(args []string) int {
 	fs := flag.NewFlagSet("crowd", flag.ExitOnError)
@@ -82,7 +74,7 @@
 		return p, err
 	}
 	config := filepath.Join(work, "config.json")
-	if err := os.WriteFile(config, []byte(crowdConfig), 0o644); err != nil {
+	if err := os.WriteFile(config, wire.Crowd, 0o644); err != nil {
 		return 0, err
 	}
 	store, err := freeAddresses("127.0.0.1", 1)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -8,14 +8,14 @@
 
 func main() {
 	if len(os.Args) < 2 {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 crowd|callers|target|uploads [flags]")
+		fmt.Fprintln(os.Stderr, "usage: stand-2 crowd|callers|target|latch [flags]")
 		os.Exit(exitCannotRun)
 	}
 	commands := map[string]func(args []string) int{
 		"crowd":   runCrowd,
 		"callers": runCallers,
 		"target":  runTarget,
-		"uploads": runUploads,
+		"latch":   runLatch,
 	}
 	run, ok := commands[os.Args[1]]
 	if !ok {
--- a/review/stand-2/target.go
+++ b/review/stand-2/target.go
@@ -12,10 +12,12 @@
 	"os"
 	"strconv"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
+// nearlyFullDivisor says from when on an upstream is nearly full: all slots but this part are busy.
+const nearlyFullDivisor = 5
+
 // runTarget is a sound upstream: it registers in the store, answers only requests that expect its instance, and marks its answers.
 func runTarget(args []string) int {
 	fs := flag.NewFlagSet("target", flag.ExitOnError)
@@ -25,55 +27,78 @@
 	zone := fs.String("zone", "", "zone")
 	listen := fs.String("listen", "127.0.0.1:0", "address")
 	work := fs.Duration("work", 20*time.Millisecond, "time of a request")
-	late := fs.Bool("late", false, "whether the body is read on only after the work")
-	window := fs.Int("window", 0, "size of the receive buffer of connections; 0 leaves the system's")
+	slots := fs.Int("slots", 64, "requests that run at once")
+	queue := fs.Int("queue", 192, "requests that wait for a slot")
+	nearly := fs.Float64("nearly", 1, "factor of the work while the upstream is nearly full")
+	verbose := fs.Bool("verbose", true, "whether each request is reported")
 	_ = fs.Parse(args)
-	const slots = 64
-	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
-		if *window == 0 {
-			return nil
-		}
-		return c.Control(func(fd uintptr) {
-			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, *window)
-		})
-	}}
-	l, err := lc.Listen(context.Background(), "tcp", *listen)
+	l, err := net.Listen("tcp", *listen)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitCannotRun
 	}
-	var running atomic.Int64
-	load := func() string { return fmt.Sprintf("%d,0,%d", running.Load(), slots) }
+	var admitted atomic.Int64
+	sem := make(chan struct{}, *slots)
+	load := func() string {
+		n := int(admitted.Load())
+		return fmt.Sprintf("%d,%d,%d", min(n, *slots), max(n-*slots, 0), *slots)
+	}
 	say := func(what, id string) {
+		if !*verbose {
+			return
+		}
 		fmt.Printf("%d %s %s %s\n", time.Now().UnixMilli(), *instance, what, id)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/health", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("X-Instance-Id", *instance)
-		w.Header().Set("X-Server-Load", load())
+		w.Header().Set(wire.Headers.Load, load())
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
-		id, expected := r.Header.Get("X-Request-Id"), r.Header.Get("X-Expect-Instance")
+		id, expected := r.Header.Get("X-Request-Id"), r.Header.Get(wire.Headers.Expect)
 		w.Header().Set("X-Request-Id", id)
 		if expected != "" && expected != *instance {
 			w.Header().Set("X-Instance-Id", *instance)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		running.Add(1)
-		defer running.Add(-1)
+		defer admitted.Add(-1)
+		if admitted.Add(1) > int64(*slots+*queue) {
+			w.Header().Set(wire.Headers.NotExecuted, "1")
+			w.Header().Set(wire.Headers.Load, load())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		deadline, err := strconv.Atoi(r.Header.Get(wire.Headers.Deadline))
+		if err != nil {
+			deadline = 30_000
+		}
+		left, cancel := context.WithTimeout(r.Context(), time.Duration(deadline)*time.Millisecond)
+		defer cancel()
+		select {
+		case sem <- struct{}{}:
+			defer func() { <-sem }()
+		case <-left.Done():
+			w.Header().Set(wire.Headers.NotExecuted, "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		say("begins", id)
-		if !*late {
-			_, _ = io.Copy(io.Discard, r.Body)
+		took := *work
+		if len(sem)*nearlyFullDivisor >= *slots*(nearlyFullDivisor-1) {
+			took = time.Duration(float64(took) * *nearly)
 		}
-		time.Sleep(*work)
-		if n, err := io.Copy(io.Discard, r.Body); err != nil {
-			say("is cut off after "+strconv.FormatInt(n, 10)+" bytes: "+err.Error(), id)
+		select {
+		case <-time.After(took):
+		case <-left.Done():
+			// An upstream stops its work at the deadline.
+			w.Header().Set(wire.Headers.Stamp, *instance)
+			w.WriteHeader(http.StatusGatewayTimeout)
 			return
 		}
 		say("ends", id)
-		w.Header().Set("X-Server-Stamp", *instance)
-		w.Header().Set("X-Server-Load", load())
+		w.Header().Set(wire.Headers.Stamp, *instance)
+		w.Header().Set(wire.Headers.Load, load())
 		body := "answer to " + id + "\n"
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, body)
@@ -83,9 +108,9 @@
 			"metadata": map[string]any{"name": *instance},
 			"specification": map[string]any{
 				"address": l.Addr().String(), "born": time.Now().UnixMilli(),
-				"info": map[string]any{"service": *service, "version": "v1", "zone": *zone, "slots": slots},
+				"info": map[string]any{"service": *service, "version": "v1", "zone": *zone, "slots": *slots},
 			},
-			"status": map[string]any{"state": "ready", "seq": 1, "cold_left_ms": 0},
+			"status": wire.Status,
 		}
 	}
 	send := func(method, path string, v any) {
